--- /dev/null
+++ b/libraries/allowance/allowance_home.cc
@@ -0,0 +1,46 @@
+#include "allowance/allowance_home.h"
+
+#include <algorithm>
+
+namespace parsleyquay {
+
+namespace {
+
+double SecondsOf(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration ToDuration(double in_seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(in_seconds));
+}
+
+}  // namespace
+
+void BeginMetering(AllowanceHome& home,
+                   const std::string& workspace,
+                   TimePoint now) {
+  home.buckets.try_emplace(workspace, AllowanceBucket{0, now});
+}
+
+AllowanceAnswer TakeToken(AllowanceHome& home,
+                          const std::string& workspace,
+                          const WorkspaceTerms& terms,
+                          Duration patience,
+                          TimePoint now) {
+  BeginMetering(home, workspace, now);
+  AllowanceBucket& bucket = home.buckets.at(workspace);
+  const double gained =
+      SecondsOf(now - bucket.filled_at) * terms.requests_per_second;
+  bucket.tokens = std::min(bucket.tokens + gained, std::max(1., terms.burst));
+  bucket.filled_at = now;
+  const double missing = std::max(0., 1 - bucket.tokens);
+  const Duration wait = ToDuration(missing / terms.requests_per_second);
+  if (wait > patience) {
+    return {false, wait};
+  }
+  bucket.tokens -= 1;
+  return {true, wait};
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/allowance/spare_share.cc
@@ -0,0 +1,31 @@
+#include "allowance/spare_share.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// Of what is tolerated, the part left for requests that run twice and for
+// those that arrive closer together than they were let through.
+constexpr double kSpareMargin = 0.75;
+
+// Requests let through some time apart may arrive closer together.
+constexpr Duration kArrivalJitter = milliseconds(300);
+
+}  // namespace
+
+long SpareRequests(const WorkspaceTerms& terms,
+                   const AllowanceTolerance& tolerance,
+                   std::size_t rank,
+                   std::size_t instances) {
+  const double window = std::chrono::duration<double>(tolerance.window).count();
+  const double usual = terms.requests_per_second * window + terms.burst;
+  const double spare =
+      (usual * tolerance.overshoot + tolerance.slack) * kSpareMargin;
+  return WholeShare(spare, rank, instances);
+}
+
+bool TakeSpare(SlidingWindow& used, long share, Duration window, TimePoint now) {
+  return TakeFromWindow(used, share, window + kArrivalJitter, now);
+}
+
+}  // namespace parsleyquay
--- a/libraries/base/clock.cc
+++ b/libraries/base/clock.cc
@@ -1,13 +1,19 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace parsleyquay {
 
 TimePoint Clock::Now() const {
   if (this->is_paused) {
     return this->paused_at;
   }
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  // NOTE: std::chrono::steady_clock stands still while a machine is suspended.
+  timespec now = {};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto since_boot =
+      seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
 }
 
 void Clock::Pause() {
--- a/libraries/base/clock.h
+++ b/libraries/base/clock.h
@@ -11,8 +11,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// The monotonic clock of one runtime. Tests pause it and advance it by hand;
-// every decision receives its readings as plain values.
+// The monotonic clock of one runtime. It also counts the time in which the
+// machine was suspended, so that no right outlives its bound over a pause.
+// Tests pause it and advance it by hand; every decision receives its readings
+// as plain values.
 class Clock {
  public:
   TimePoint Now() const;
--- /dev/null
+++ b/libraries/belief/server_belief.h
@@ -0,0 +1,59 @@
+#ifndef PARSLEYQUAY_BELIEF_SERVER_BELIEF_H_
+#define PARSLEYQUAY_BELIEF_SERVER_BELIEF_H_
+
+#include <string_view>
+
+#include "base/clock.h"
+
+namespace parsleyquay {
+
+// What one request showed of the backend server that it was sent to.
+enum class Outcome {
+  kServed,       // a whole answer in good time
+  kFailed,       // the server itself answered with a failure
+  kBroken,       // no answer, part of one, or one to another request
+  kOverdue,      // no answer yet, long after most have come
+  kUnreachable,  // no connection came about
+  kShed,         // the server had no room; says nothing of its health
+};
+
+// How a server of the fleet is thought to fail: by spells, in which most
+// requests fail, between which few do. A two-state hidden Markov model
+// (Rabiner, 1989, section III) with the states' shares and lengths below.
+struct SpellModel {
+  double usual_failure_share = 0.012;  // the sites' error share
+  double spell_failure_share = 0.75;   // the sites' share within a spell
+  double spell_share = 0.3;            // of the time, by the sites
+  Duration mean_cycle = seconds(9);    // from one spell to the next
+
+  bool operator==(const SpellModel&) const = default;
+};
+
+// How probable it is that a server is in a spell.
+struct ServerBelief {
+  double spell_probability = 0;
+  TimePoint updated_at;
+
+  bool operator==(const ServerBelief&) const = default;
+};
+
+// What is believed of a server of which nothing has been seen yet.
+ServerBelief MakeServerBelief(const SpellModel& model, TimePoint now);
+
+// The belief at a later time: it fades to what is usual.
+ServerBelief Fade(ServerBelief belief, const SpellModel& model, TimePoint now);
+
+// Takes in one outcome seen at `now`, by Bayes' rule.
+ServerBelief Learn(ServerBelief belief,
+                   const SpellModel& model,
+                   Outcome outcome,
+                   TimePoint now);
+
+// The probability that the next request to the server fails.
+double FailureProbability(const ServerBelief& belief, const SpellModel& model);
+
+std::string_view OutcomeName(Outcome outcome);
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_BELIEF_SERVER_BELIEF_H_
--- /dev/null
+++ b/libraries/coordination/change_feed.h
@@ -0,0 +1,52 @@
+#ifndef PARSLEYQUAY_COORDINATION_CHANGE_FEED_H_
+#define PARSLEYQUAY_COORDINATION_CHANGE_FEED_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace parsleyquay {
+
+enum class FeedStatus {
+  kRead,
+  kExpired,      // the changes from that position are no longer kept
+  kUnavailable,  // no answer, or one that refuses
+};
+
+// The answer to one read of a feed.
+template <typename Change>
+struct FeedRead {
+  FeedStatus status = FeedStatus::kUnavailable;
+  std::string detail;
+  std::vector<Change> changes;
+  std::uint64_t next_position = 0;  // to read on from
+};
+
+// Ends a read; its answer no longer comes.
+using CancelRead = std::function<void()>;
+
+// An ordered record of changes, of which the newest of each key is kept for
+// good and the others for some time.
+template <typename Change>
+struct ChangeFeed {
+  using OnRead = std::function<void(FeedRead<Change>)>;
+
+  // Reads the newest change of every key.
+  std::function<CancelRead(Duration timeout, OnRead)> read_all;
+
+  // Reads what came from a position on; with nothing there, waits up to `wait`
+  // for the next change.
+  std::function<CancelRead(std::uint64_t position,
+                           Duration wait,
+                           Duration timeout,
+                           OnRead)>
+      read_from;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_COORDINATION_CHANGE_FEED_H_
--- /dev/null
+++ b/libraries/coordination/member_record.h
@@ -0,0 +1,22 @@
+#ifndef PARSLEYQUAY_COORDINATION_MEMBER_RECORD_H_
+#define PARSLEYQUAY_COORDINATION_MEMBER_RECORD_H_
+
+#include <compare>
+#include <string>
+
+namespace parsleyquay {
+
+// One instance of the fleet, as the others find it.
+struct MemberRecord {
+  std::string name;
+  std::string failure_domain;
+  std::string request_address;  // "ip:port" for callers
+  std::string peer_address;     // "ip:port" for other instances
+  std::string incarnation;      // new with each start of the process
+
+  auto operator<=>(const MemberRecord&) const = default;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_COORDINATION_MEMBER_RECORD_H_
--- a/libraries/entry/forwarding.cc
+++ b/libraries/entry/forwarding.cc
@@ -1,7 +1,6 @@
 #include "entry/forwarding.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "entry/entry_context.h"
 
@@ -73,16 +72,4 @@
   return forwarded;
 }
 
-std::optional<std::uint64_t> ReadUnsigned(const HeaderList& headers,
-                                          std::string_view name) {
-  const std::string* text = FindHeader(headers, name);
-  if (!text) {
-    return std::nullopt;
-  }
-  std::uint64_t number = 0;
-  const auto parsed =
-      std::from_chars(text->data(), text->data() + text->size(), number);
-  return parsed.ec == std::errc() ? std::optional(number) : std::nullopt;
-}
-
 }  // namespace parsleyquay
--- a/libraries/entry/forwarding.h
+++ b/libraries/entry/forwarding.h
@@ -34,10 +34,6 @@
 HeaderList ForwardedAnswerHeaders(const HeaderList& headers,
                                   const std::string& request_id);
 
-// The value of a header that is a whole number.
-std::optional<std::uint64_t> ReadUnsigned(const HeaderList& headers,
-                                          std::string_view name);
-
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_ENTRY_FORWARDING_H_
--- a/libraries/event/timer.cc
+++ b/libraries/event/timer.cc
@@ -40,7 +40,9 @@
 }
 
 void Timer::OnTimeout(struct ev_loop*, ev_timer* watcher, int) {
-  static_cast<Timer*>(watcher->data)->action();
+  // A copy, since the action may end the timer that holds it.
+  const auto action = static_cast<Timer*>(watcher->data)->action;
+  action();
 }
 
 }  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/address_desk.h
@@ -0,0 +1,22 @@
+#ifndef PARSLEYQUAY_GATEWAY_ADDRESS_DESK_H_
+#define PARSLEYQUAY_GATEWAY_ADDRESS_DESK_H_
+
+#include <string>
+#include <vector>
+
+#include "gateway/dialect.h"
+#include "gateway/gateway_context.h"
+
+namespace parsleyquay {
+
+// Which instances a caller of a failure domain is to use: those that live and
+// are ready, of its own domain while enough of them do, else of all.
+AddressAnswer ChooseNearAddresses(const MemberTable& members,
+                              const std::string& failure_domain,
+                              Duration lifetime,
+                              std::uint64_t random,
+                              TimePoint now);
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_ADDRESS_DESK_H_
--- /dev/null
+++ b/libraries/gateway/allowance_desk.cc
@@ -0,0 +1,324 @@
+#include "gateway/allowance_desk.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "base/rendezvous.h"
+#include "logging/event_log.h"
+
+namespace parsleyquay {
+
+namespace {
+
+constexpr char kAsk[] = "allowance_ask";
+constexpr char kGrant[] = "allowance_grant";
+
+// How long duties are held without being renewed. Longer than most outages of
+// the store, shorter than callers bear to do without their home.
+constexpr Duration kDutyLifetime = seconds(5);
+constexpr Duration kRenewInterval = milliseconds(1'200);
+constexpr Duration kRenewSoon = milliseconds(40);
+// A holder stops that long before others may begin.
+constexpr Duration kDutyMargin = milliseconds(200);
+
+// A datagram crosses the fleet in a few milliseconds; one may be lost.
+constexpr Duration kAskTimeout = milliseconds(70);
+constexpr int kMostSendings = 2;
+
+constexpr Duration kSpareRetryAfter = milliseconds(800);
+
+enum GrantCode { kDenied, kGranted, kNotHome };
+
+}  // namespace
+
+std::string_view AllowanceSourceName(AllowanceSource source) {
+  switch (source) {
+    case AllowanceSource::kNoLimit:
+      return "no_limit";
+    case AllowanceSource::kOwnHome:
+      return "own_home";
+    case AllowanceSource::kPeerHome:
+      return "peer_home";
+    case AllowanceSource::kSpare:
+      return "spare";
+  }
+  return "unknown";
+}
+
+AllowanceDesk::AllowanceDesk(GatewayContext& context)
+    : context(context), renew_timer(context.loop, [this] { this->Renew(); }) {}
+
+std::vector<std::string> AllowanceDesk::Methods() {
+  return {kAsk, kGrant};
+}
+
+void AllowanceDesk::Ask(const std::string& workspace,
+                        Duration patience,
+                        OnVerdict on_verdict) {
+  if (!this->TermsOf(workspace).has_limit()) {
+    on_verdict({true, AllowanceSource::kNoLimit});
+    return;
+  }
+  const long duty = this->DutyOf(workspace);
+  if (this->IsHeld(duty)) {
+    this->AnswerFromOwnHome(workspace, patience, std::move(on_verdict));
+    return;
+  }
+  if (!this->context.peers || !this->HomeAddressOf(duty)) {
+    on_verdict(this->TakeSpareRequest(workspace));
+    return;
+  }
+  const std::uint64_t id = this->next_ask++;
+  PendingAsk& ask = this->pending[id];
+  ask.workspace = workspace;
+  ask.patience = patience;
+  ask.on_verdict = std::move(on_verdict);
+  this->SendAsk(id);
+}
+
+void AllowanceDesk::OnMessage(const std::string& method,
+                              const Json::Value& parameters) {
+  if (method == kAsk) {
+    this->OnAsk(parameters);
+    return;
+  }
+  this->OnGrant(parameters);
+}
+
+void AllowanceDesk::SetEligible(bool eligible) {
+  if (this->is_eligible == eligible || this->context.is_leaving) {
+    return;
+  }
+  this->is_eligible = eligible;
+  if (eligible) {
+    this->Renew();
+    return;
+  }
+  this->Leave();
+}
+
+void AllowanceDesk::OnConfiguration() {
+  const TimePoint now = this->context.Now();
+  for (const auto& [name, terms] :
+       this->context.routing->configuration().workspaces) {
+    if (terms.has_limit() && this->IsHeld(this->DutyOf(name))) {
+      BeginMetering(this->home, name, now);
+    }
+  }
+}
+
+std::vector<long> AllowanceDesk::HeldDuties() const {
+  return this->context.Now() < this->held_until ? this->assignment.duties
+                                                : std::vector<long>();
+}
+
+void AllowanceDesk::Leave() {
+  this->renew_timer.Stop();
+  this->is_eligible = false;
+  if (!this->assignment.duties.empty()) {
+    LogEvent(LogLevel::kInfo, "duties_handed_back",
+             {{"generation", std::to_string(this->assignment.generation)}});
+  }
+  this->assignment = {};
+  this->held_until = TimePoint();
+  this->home = {};
+  this->context.port.duties.leave(this->context.settings.name, [] {});
+}
+
+void AllowanceDesk::Renew() {
+  const TimePoint sent_at = this->context.Now();
+  const Duration lifetime =
+      std::max(kDutyLifetime, this->context.settings.shortest_lease);
+  this->renew_timer.StartOnce(kRenewInterval);
+  this->context.port.duties.renew(
+      this->context.settings.name, lifetime, this->assignment.generation,
+      [this, sent_at, lifetime](std::optional<DutyAssignment> dealt) {
+        this->OnAssignment(std::move(dealt), sent_at, lifetime);
+      });
+}
+
+void AllowanceDesk::OnAssignment(std::optional<DutyAssignment> dealt,
+                                 TimePoint sent_at,
+                                 Duration lifetime) {
+  if (!dealt || !this->is_eligible) {
+    return;
+  }
+  const std::vector<long> held = this->HeldDuties();
+  const bool is_regrouped = dealt->generation != this->assignment.generation;
+  this->assignment = std::move(*dealt);
+  this->held_until = sent_at + lifetime - kDutyMargin;
+  // What was not held all the while begins with empty buckets.
+  std::erase_if(this->home.buckets, [&](const auto& bucket) {
+    const long duty = this->DutyOf(bucket.first);
+    return std::ranges::find(held, duty) == held.end() || !this->IsHeld(duty);
+  });
+  if (this->context.routing) {
+    this->OnConfiguration();
+  }
+  if (is_regrouped) {
+    LogEvent(LogLevel::kInfo, "duties_dealt",
+             {{"generation", std::to_string(this->assignment.generation)},
+              {"duties", std::to_string(this->assignment.duties.size())}});
+    // The others get what is not ours any more once we say that we know.
+    this->renew_timer.StartOnce(kRenewSoon);
+  }
+}
+
+long AllowanceDesk::DutyOf(const std::string& workspace) const {
+  const long count = std::max(1L, this->context.port.duties.duty_count);
+  return static_cast<long>(RendezvousWeight("allowance", workspace) %
+                           static_cast<std::uint64_t>(count));
+}
+
+bool AllowanceDesk::IsHeld(long duty) const {
+  return this->context.Now() < this->held_until &&
+         std::ranges::find(this->assignment.duties, duty) !=
+             this->assignment.duties.end();
+}
+
+std::optional<std::string> AllowanceDesk::HomeAddressOf(long duty) const {
+  const TimePoint now = this->context.Now();
+  const MemberEntry* newest = nullptr;
+  for (const auto& [name, entry] : this->context.members.members) {
+    const bool is_home = name != this->context.settings.name &&
+                         IsAlive(entry, now) &&
+                         std::ranges::find(entry.status.duties, duty) !=
+                             entry.status.duties.end();
+    if (is_home && (!newest || newest->heard_at < entry.heard_at)) {
+      newest = &entry;
+    }
+  }
+  return newest ? std::optional(newest->status.record.peer_address)
+                : std::nullopt;
+}
+
+AllowanceVerdict AllowanceDesk::TakeSpareRequest(const std::string& workspace) {
+  const AllowanceTolerance& tolerance = this->context.settings.bounds.allowance;
+  const long share = SpareRequests(
+      this->TermsOf(workspace), tolerance,
+      RankOfMember(this->context.members, this->context.settings.name),
+      this->context.member_count());
+  const bool is_taken =
+      TakeSpare(this->spare_uses[workspace], share, tolerance.window,
+                this->context.Now());
+  return {is_taken, AllowanceSource::kSpare, kSpareRetryAfter};
+}
+
+void AllowanceDesk::AnswerFromOwnHome(const std::string& workspace,
+                                      Duration patience,
+                                      OnVerdict on_verdict) {
+  const AllowanceAnswer answer =
+      TakeToken(this->home, workspace, this->TermsOf(workspace), patience,
+                this->context.Now());
+  if (!answer.is_granted || answer.retry_after <= Duration(0)) {
+    on_verdict({answer.is_granted, AllowanceSource::kOwnHome,
+                answer.retry_after});
+    return;
+  }
+  const std::uint64_t id = this->next_ask++;
+  this->pending[id].on_verdict = std::move(on_verdict);
+  this->GrantAfter(id, answer.retry_after, AllowanceSource::kOwnHome);
+}
+
+void AllowanceDesk::SendAsk(std::uint64_t id) {
+  PendingAsk& ask = this->pending.at(id);
+  const auto address = this->HomeAddressOf(this->DutyOf(ask.workspace));
+  if (!address) {
+    this->Settle(id, this->TakeSpareRequest(ask.workspace));
+    return;
+  }
+  ++ask.sendings;
+  Json::Value parameters;
+  parameters["f"] = this->context.settings.peer_address;
+  parameters["i"] = Json::UInt64(id);
+  parameters["w"] = ask.workspace;
+  parameters["p"] = Json::Int64(ToMilliseconds(ask.patience));
+  this->context.peers->Send(*address, kAsk, parameters);
+  ask.timer = std::make_unique<Timer>(this->context.loop,
+                                      [this, id] { this->OnAskTimeout(id); });
+  ask.timer->StartOnce(kAskTimeout);
+}
+
+void AllowanceDesk::OnAskTimeout(std::uint64_t id) {
+  const auto found = this->pending.find(id);
+  if (found == this->pending.end()) {
+    return;
+  }
+  if (found->second.sendings < kMostSendings) {
+    this->SendAsk(id);
+    return;
+  }
+  Count(this->context.metrics, "allowance_asks_unanswered");
+  this->Settle(id, this->TakeSpareRequest(found->second.workspace));
+}
+
+void AllowanceDesk::OnAsk(const Json::Value& parameters) {
+  const std::string workspace = parameters["w"].asString();
+  Json::Value reply;
+  reply["i"] = parameters["i"];
+  reply["r"] = 0;
+  if (!this->context.routing || !this->IsHeld(this->DutyOf(workspace))) {
+    reply["g"] = kNotHome;
+  } else if (!this->TermsOf(workspace).has_limit()) {
+    reply["g"] = kGranted;
+  } else {
+    const AllowanceAnswer answer =
+        TakeToken(this->home, workspace, this->TermsOf(workspace),
+                  milliseconds(parameters["p"].asInt64()), this->context.Now());
+    reply["g"] = answer.is_granted ? kGranted : kDenied;
+    reply["r"] = Json::Int64(answer.retry_after.count());
+  }
+  this->context.peers->Send(parameters["f"].asString(), kGrant, reply);
+}
+
+void AllowanceDesk::OnGrant(const Json::Value& parameters) {
+  const std::uint64_t id = parameters["i"].asUInt64();
+  const auto found = this->pending.find(id);
+  if (found == this->pending.end()) {
+    return;
+  }
+  const Duration delay(parameters["r"].asInt64());
+  switch (parameters["g"].asInt()) {
+    case kGranted:
+      this->GrantAfter(id, delay, AllowanceSource::kPeerHome);
+      return;
+    case kNotHome:
+      this->Settle(id, this->TakeSpareRequest(found->second.workspace));
+      return;
+    default:
+      this->Settle(id, {false, AllowanceSource::kPeerHome, delay});
+  }
+}
+
+void AllowanceDesk::GrantAfter(std::uint64_t id,
+                               Duration delay,
+                               AllowanceSource source) {
+  if (delay <= Duration(0)) {
+    this->Settle(id, {true, source});
+    return;
+  }
+  PendingAsk& ask = this->pending.at(id);
+  ask.timer =
+      std::make_unique<Timer>(this->context.loop, [this, id, source] {
+        this->Settle(id, {true, source});
+      });
+  ask.timer->StartOnce(delay);
+}
+
+void AllowanceDesk::Settle(std::uint64_t id, const AllowanceVerdict& verdict) {
+  const auto found = this->pending.find(id);
+  // The timer may be the one that is running; it ends with this turn.
+  const OnVerdict on_verdict = std::move(found->second.on_verdict);
+  const std::shared_ptr<Timer> timer = std::move(found->second.timer);
+  this->pending.erase(found);
+  on_verdict(verdict);
+}
+
+const WorkspaceTerms& AllowanceDesk::TermsOf(
+    const std::string& workspace) const {
+  return WorkspaceTermsOf(this->context.routing->configuration(), workspace);
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/allowance_desk.h
@@ -0,0 +1,110 @@
+#ifndef PARSLEYQUAY_GATEWAY_ALLOWANCE_DESK_H_
+#define PARSLEYQUAY_GATEWAY_ALLOWANCE_DESK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "allowance/allowance_home.h"
+#include "allowance/spare_share.h"
+#include "event/timer.h"
+#include "gateway/gateway_context.h"
+
+namespace parsleyquay {
+
+// Who decided on a request's allowance.
+enum class AllowanceSource {
+  kNoLimit,
+  kOwnHome,   // this instance meters the workspace
+  kPeerHome,  // another one does
+  kSpare,     // no home was in reach
+};
+
+struct AllowanceVerdict {
+  bool is_granted = false;
+  AllowanceSource source = AllowanceSource::kNoLimit;
+  Duration retry_after = Duration(0);
+
+  bool operator==(const AllowanceVerdict&) const = default;
+};
+
+std::string_view AllowanceSourceName(AllowanceSource source);
+
+// Keeps each workspace within its rate over all instances. The workspaces are
+// spread over numbered duties; who holds a duty is the home of its workspaces
+// and grants their requests one by one. Where no home can be reached, an
+// instance spends its own small share of what the bounds tolerate beyond the
+// rate, so that the sum holds whatever is cut.
+class AllowanceDesk {
+ public:
+  using OnVerdict = std::function<void(const AllowanceVerdict&)>;
+
+  explicit AllowanceDesk(GatewayContext& context);
+
+  // The methods of its messages.
+  static std::vector<std::string> Methods();
+
+  // Asks for one request; a request without a token may wait up to `patience`.
+  // The verdict may come before the function returns.
+  void Ask(const std::string& workspace, Duration patience, OnVerdict on_verdict);
+
+  void OnMessage(const std::string& method, const Json::Value& parameters);
+
+  // Whether this instance takes part in the duties.
+  void SetEligible(bool is_eligible);
+
+  // Begins to meter what a new configuration brought.
+  void OnConfiguration();
+
+  // The duties that are held now, each to one instance at a time.
+  std::vector<long> HeldDuties() const;
+
+  // Hands the duties back.
+  void Leave();
+
+ private:
+  struct PendingAsk {
+    std::string workspace;
+    Duration patience = Duration(0);
+    OnVerdict on_verdict;
+    int sendings = 0;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Renew();
+  void OnAssignment(std::optional<DutyAssignment> assignment,
+                    TimePoint sent_at,
+                    Duration lifetime);
+  long DutyOf(const std::string& workspace) const;
+  bool IsHeld(long duty) const;
+  std::optional<std::string> HomeAddressOf(long duty) const;
+  AllowanceVerdict TakeSpareRequest(const std::string& workspace);
+  void AnswerFromOwnHome(const std::string& workspace,
+                         Duration patience,
+                         OnVerdict on_verdict);
+  void SendAsk(std::uint64_t id);
+  void OnAskTimeout(std::uint64_t id);
+  void OnAsk(const Json::Value& parameters);
+  void OnGrant(const Json::Value& parameters);
+  void Settle(std::uint64_t id, const AllowanceVerdict& verdict);
+  void GrantAfter(std::uint64_t id, Duration delay, AllowanceSource source);
+  const WorkspaceTerms& TermsOf(const std::string& workspace) const;
+
+  GatewayContext& context;
+  Timer renew_timer;
+  bool is_eligible = false;
+  DutyAssignment assignment;
+  TimePoint held_until;
+  AllowanceHome home;
+  std::map<std::string, SlidingWindow> spare_uses;
+  std::map<std::uint64_t, PendingAsk> pending;
+  std::uint64_t next_ask = 1;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_ALLOWANCE_DESK_H_
--- /dev/null
+++ b/libraries/gateway/configuration_desk.cc
@@ -0,0 +1,96 @@
+#include "gateway/configuration_desk.h"
+
+#include <utility>
+
+#include "logging/event_log.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// A change must be in force within two seconds. Those who watch for all wait
+// at most this long on a connection that may have gone silent.
+constexpr FollowPlan kWatchfulPlan = {.wait = milliseconds(1'500),
+                                      .interval = milliseconds(20),
+                                      .timeout = milliseconds(400)};
+
+// The others hear of a change from their peers as well; each read costs.
+constexpr FollowPlan kPatientPlan = {.wait = seconds(20),
+                                     .interval = milliseconds(20),
+                                     .timeout = seconds(1)};
+
+}  // namespace
+
+ConfigurationDesk::ConfigurationDesk(GatewayContext& context,
+                                     OnConfiguration on_configuration,
+                                     OnWithdrawals on_withdrawals)
+    : context(context),
+      on_configuration(std::move(on_configuration)),
+      on_withdrawals(std::move(on_withdrawals)),
+      follower(context.loop,
+               "operators",
+               context.port.operators,
+               kPatientPlan,
+               {.on_changes =
+                    [this](std::vector<OperatorChange> changes, ChangeSet set) {
+                      this->OnChanges(std::move(changes), set);
+                    }}) {}
+
+void ConfigurationDesk::OnPeerPosition(std::uint64_t position) {
+  if (position > this->position()) {
+    this->follower.ReadNow();
+  }
+}
+
+void ConfigurationDesk::SetWatchful(bool is_watchful) {
+  this->follower.SetPlan(is_watchful ? kWatchfulPlan : kPatientPlan);
+}
+
+void ConfigurationDesk::OnChanges(std::vector<OperatorChange> changes,
+                                  ChangeSet set) {
+  const std::set<std::string> before = this->withdrawn_domains;
+  if (set == ChangeSet::kWhole) {
+    this->withdrawn_domains.clear();
+  }
+  for (OperatorChange& change : changes) {
+    if (auto* configuration = std::get_if<FleetConfiguration>(&change)) {
+      this->Accept(std::move(*configuration));
+      continue;
+    }
+    this->Withdraw(std::get<DomainWithdrawal>(change));
+  }
+  if (this->withdrawn_domains != before) {
+    this->on_withdrawals(this->withdrawn_domains);
+  }
+}
+
+void ConfigurationDesk::Withdraw(const DomainWithdrawal& withdrawal) {
+  LogEvent(LogLevel::kInfo, "domain_withdrawal",
+           {{"failure_domain", withdrawal.failure_domain},
+            {"withdrawn", withdrawal.is_withdrawn ? "yes" : "no"}});
+  if (withdrawal.is_withdrawn) {
+    this->withdrawn_domains.insert(withdrawal.failure_domain);
+    return;
+  }
+  this->withdrawn_domains.erase(withdrawal.failure_domain);
+}
+
+void ConfigurationDesk::Accept(FleetConfiguration configuration) {
+  const std::uint64_t known = this->context.configuration_version();
+  const std::string version = std::to_string(configuration.version);
+  if (this->context.routing && configuration.version <= known) {
+    LogEvent(LogLevel::kInfo, "configuration_overtaken",
+             {{"version", version}, {"known", std::to_string(known)}});
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "configuration_accepted",
+           {{"version", version},
+            {"before", std::to_string(known)},
+            {"routes", std::to_string(configuration.routes.size())},
+            {"workspaces", std::to_string(configuration.workspaces.size())}});
+  this->context.routing =
+      std::make_shared<const RoutingTable>(std::move(configuration));
+  this->on_configuration();
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/configuration_desk.h
@@ -0,0 +1,54 @@
+#ifndef PARSLEYQUAY_GATEWAY_CONFIGURATION_DESK_H_
+#define PARSLEYQUAY_GATEWAY_CONFIGURATION_DESK_H_
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/feed_follower.h"
+#include "gateway/gateway_context.h"
+
+namespace parsleyquay {
+
+// Keeps the newest configuration that operators have published. In one life of
+// the process it never goes back to an older version.
+class ConfigurationDesk {
+ public:
+  using OnConfiguration = std::function<void()>;
+  // Called with all failure domains that are taken out.
+  using OnWithdrawals = std::function<void(const std::set<std::string>&)>;
+
+  ConfigurationDesk(GatewayContext& context,
+                    OnConfiguration on_configuration,
+                    OnWithdrawals on_withdrawals);
+
+  void Start() { this->follower.Start(); }
+  void Stop() { this->follower.Stop(); }
+
+  // Another instance has read that far; what is missing here is read at once.
+  void OnPeerPosition(std::uint64_t position);
+
+  // Reads in short turns, so that changes are noticed even when a connection
+  // to the store has gone silent. For those on whom others rely.
+  void SetWatchful(bool is_watchful);
+
+  std::uint64_t position() const {
+    return this->follower.position().value_or(0);
+  }
+
+ private:
+  void OnChanges(std::vector<OperatorChange> changes, ChangeSet set);
+  void Accept(FleetConfiguration configuration);
+  void Withdraw(const DomainWithdrawal& withdrawal);
+
+  GatewayContext& context;
+  OnConfiguration on_configuration;
+  OnWithdrawals on_withdrawals;
+  std::set<std::string> withdrawn_domains;
+  FeedFollower<OperatorChange> follower;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_CONFIGURATION_DESK_H_
--- /dev/null
+++ b/libraries/gateway/gateway.cc
@@ -0,0 +1,263 @@
+#include "gateway/gateway.h"
+
+#include <utility>
+
+#include "base/random_id.h"
+#include "gateway/address_desk.h"
+#include "gateway/request_flow.h"
+#include "logging/event_log.h"
+
+namespace parsleyquay {
+
+namespace {
+
+constexpr int kOkStatus = 200;
+constexpr int kNotFoundStatus = 404;
+constexpr int kUnavailableStatus = 503;
+
+constexpr std::size_t kIncarnationBytes = 6;
+constexpr Duration kLogFlushInterval = milliseconds(200);
+
+// Shares of the time between SIGTERM and SIGKILL. Callers keep the addresses
+// they know for some seconds, so new connections are accepted for the first
+// part; requests under way may use the second.
+constexpr double kListenShare = 0.6;
+constexpr double kFinishShare = 0.9;
+constexpr Duration kLeaveCheckInterval = milliseconds(50);
+
+Duration ShareOf(Duration duration, double share) {
+  return std::chrono::duration_cast<Duration>(duration * share);
+}
+
+}  // namespace
+
+Gateway::Gateway(EventLoop& loop,
+                 HttpClient& http,
+                 GatewaySettings settings,
+                 CoordinationPort port,
+                 Dialect dialect)
+    : context(loop,
+              std::move(settings),
+              http,
+              std::move(port),
+              std::move(dialect)),
+      mesh(this->context, AllowanceDesk::Methods(), this->MakeMeshHandlers()),
+      list(this->context,
+           [this](const std::string& server) { this->servers.Forget(server); }),
+      servers(this->context,
+              this->list,
+              [this](const OutcomeReport& report) {
+                this->mesh.Report(report);
+              }),
+      allowances(this->context),
+      configuration(
+          this->context,
+          [this] { this->allowances.OnConfiguration(); },
+          [this](const std::set<std::string>& domains) {
+            this->list.SetWithdrawnDomains(domains);
+          }),
+      flush_timer(loop, [] { FlushEventLog(); }),
+      leave_timer(loop, [this] { this->CheckFinished(); }) {
+  this->context.incarnation = RandomHex(kIncarnationBytes);
+}
+
+Result<std::unique_ptr<Gateway>> Gateway::Create(EventLoop& loop,
+                                                 HttpClient& http,
+                                                 GatewaySettings settings,
+                                                 CoordinationPort port,
+                                                 Dialect dialect) {
+  std::unique_ptr<Gateway> gateway(new Gateway(loop, http, std::move(settings),
+                                               std::move(port),
+                                               std::move(dialect)));
+  BOOST_LEAF_CHECK(gateway->Start());
+  return gateway;
+}
+
+Result<void> Gateway::Start() {
+  const GatewaySettings& settings = this->context.settings;
+  LogEvent(LogLevel::kInfo, "start",
+           {{"incarnation", this->context.incarnation},
+            {"failure_domain", settings.failure_domain},
+            {"requests", settings.request_address},
+            {"store", settings.store_address}});
+  BOOST_LEAF_ASSIGN(
+      this->request_server,
+      HttpServer::Create(this->context.loop, settings.request_address,
+                         [this](std::shared_ptr<ServerExchange> exchange) {
+                           this->OnRequest(std::move(exchange));
+                         }));
+  BOOST_LEAF_ASSIGN(
+      this->readiness_server,
+      HttpServer::Create(
+          this->context.loop, settings.readiness_address,
+          [this](const std::shared_ptr<ServerExchange>& exchange) {
+            this->OnReadinessQuestion(*exchange);
+          }));
+  BOOST_LEAF_ASSIGN(
+      this->directory_server,
+      HttpServer::Create(
+          this->context.loop, settings.directory_address,
+          [this](const std::shared_ptr<ServerExchange>& exchange) {
+            this->OnAddressQuestion(*exchange);
+          }));
+  BOOST_LEAF_ASSIGN(
+      this->metrics_server,
+      HttpServer::Create(
+          this->context.loop, settings.metrics_address,
+          [this](const std::shared_ptr<ServerExchange>& exchange) {
+            this->OnMetricsQuestion(*exchange);
+          }));
+  this->configuration.Start();
+  this->list.Start();
+  this->mesh.Start();
+  this->flush_timer.StartRepeating(kLogFlushInterval);
+  return {};
+}
+
+MeshAgent::Handlers Gateway::MakeMeshHandlers() {
+  return {.on_outcomes =
+              [this](const OutcomeSummary& outcomes) {
+                this->servers.Learn(outcomes);
+              },
+          .on_digest = [this](const Digest& digest) { this->OnDigest(digest); },
+          .fill_digest =
+              [this](Digest& digest) {
+                digest.configuration_version =
+                    this->context.configuration_version();
+                digest.operator_position = this->configuration.position();
+                this->list.FillDigest(digest);
+              },
+          .on_role = [this](const MeshRole& role) { this->OnRole(role); },
+          .duties = [this] { return this->allowances.HeldDuties(); },
+          .on_message =
+              [this](const std::string& method, const Json::Value& parameters) {
+                this->allowances.OnMessage(method, parameters);
+              }};
+}
+
+void Gateway::OnRequest(std::shared_ptr<ServerExchange> exchange) {
+  std::make_shared<RequestFlow>(
+      RequestParts{this->context, this->allowances, this->servers,
+                   this->retry_budgets},
+      std::move(exchange))
+      ->Start();
+}
+
+bool Gateway::is_ready() const {
+  return this->context.routing && this->list.has_been_read() &&
+         !this->context.is_leaving;
+}
+
+void Gateway::OnReadinessQuestion(ServerExchange& exchange) {
+  if (!this->context.dialect.is_readiness_question(exchange.target())) {
+    exchange.Respond(kNotFoundStatus, {}, "");
+    return;
+  }
+  exchange.Respond(this->is_ready() ? kOkStatus : kUnavailableStatus, {}, "");
+}
+
+void Gateway::OnAddressQuestion(ServerExchange& exchange) {
+  const auto question =
+      this->context.dialect.parse_address_question(exchange.target());
+  if (!question) {
+    exchange.Respond(kNotFoundStatus, {}, "");
+    return;
+  }
+  const AddressAnswer answer = ChooseNearAddresses(
+      this->context.members, question->failure_domain,
+      this->context.settings.bounds.address_lifetime, this->context.random(),
+      this->context.Now());
+  Count(this->context.metrics, "address_answers");
+  if (answer.addresses.empty()) {
+    exchange.Respond(kUnavailableStatus, {}, "");
+    return;
+  }
+  exchange.Respond(kOkStatus, {{"Content-Type", "application/json"}},
+                   this->context.dialect.encode_address_answer(answer));
+}
+
+void Gateway::OnMetricsQuestion(ServerExchange& exchange) {
+  GatewayMetrics metrics = this->context.metrics;
+  Count(metrics, "active_requests", this->context.active_requests);
+  Count(metrics, "configuration_version",
+        this->context.configuration_version());
+  Count(metrics, "members_alive",
+        CountAlive(this->context.members, this->context.Now()));
+  Count(metrics, "servers_listed", this->list.roster().servers.size());
+  Count(metrics, "log_lines_dropped", DroppedLogLines());
+  if (this->context.peers) {
+    const PeerTraffic& traffic = this->context.peers->traffic();
+    Count(metrics, "peer_messages_sent", traffic.sent_messages);
+    Count(metrics, "peer_bytes_sent", traffic.sent_bytes);
+    Count(metrics, "peer_messages_received", traffic.received_messages);
+    Count(metrics, "peer_messages_rejected", traffic.rejected_messages);
+  }
+  exchange.Respond(kOkStatus, {{"Content-Type", "text/plain"}},
+                   RenderMetrics(metrics));
+}
+
+void Gateway::OnDigest(const Digest& digest) {
+  this->configuration.OnPeerPosition(digest.operator_position);
+  this->list.OnPeerChanges(digest);
+}
+
+void Gateway::OnRole(const MeshRole& role) {
+  LogEvent(LogLevel::kInfo, "role",
+           {{"aggregator", role.is_aggregator ? "yes" : "no"},
+            {"standby", role.is_standby ? "yes" : "no"},
+            {"alone", role.is_alone ? "yes" : "no"}});
+  const bool reads_itself = role.is_aggregator || role.is_alone;
+  this->list.SetReading(reads_itself ? ListReading::kForOthers
+                                     : ListReading::kByPeers);
+  this->configuration.SetWatchful(role.is_aggregator);
+  this->allowances.SetEligible(role.is_aggregator || role.is_standby);
+}
+
+void Gateway::UpdateSettings(const GatewaySettings& settings) {
+  const FleetBounds before = this->context.settings.bounds;
+  this->context.settings.bounds = settings.bounds;
+  GatewaySettings rest = settings;
+  rest.bounds = before;
+  GatewaySettings own = this->context.settings;
+  own.bounds = before;
+  LogEvent(LogLevel::kInfo, "settings_reloaded",
+           {{"bounds", settings.bounds == before ? "same" : "changed"},
+            {"needs_restart", rest == own ? "no" : "yes"}});
+}
+
+void Gateway::BeginLeaving() {
+  if (this->leaving_since) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "leaving",
+           {{"active_requests",
+             std::to_string(this->context.active_requests)}});
+  this->leaving_since = this->context.Now();
+  this->context.is_leaving = true;
+  this->request_server->CloseConnectionsAfterAnswers();
+  this->allowances.Leave();
+  this->mesh.Announce();
+  this->mesh.Leave([] {});
+  this->leave_timer.StartRepeating(kLeaveCheckInterval);
+}
+
+void Gateway::CheckFinished() {
+  const Duration passed = this->context.Now() - *this->leaving_since;
+  const Duration grace = this->context.settings.bounds.grace;
+  if (!this->has_stopped_listening && passed >= ShareOf(grace, kListenShare)) {
+    this->has_stopped_listening = true;
+    this->request_server->StopListening();
+  }
+  const bool is_done =
+      this->has_stopped_listening && this->context.active_requests == 0 &&
+      this->request_server->open_exchanges() == 0;
+  if (is_done || passed >= ShareOf(grace, kFinishShare)) {
+    LogEvent(LogLevel::kInfo, "stop",
+             {{"active_requests",
+               std::to_string(this->context.active_requests)}});
+    FlushEventLog();
+    this->context.loop.Stop();
+  }
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/gateway.h
@@ -0,0 +1,75 @@
+#ifndef PARSLEYQUAY_GATEWAY_GATEWAY_H_
+#define PARSLEYQUAY_GATEWAY_GATEWAY_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/allowance_desk.h"
+#include "gateway/configuration_desk.h"
+#include "gateway/gateway_context.h"
+#include "gateway/mesh_agent.h"
+#include "gateway/server_desk.h"
+#include "gateway/server_list.h"
+#include "http/http_server.h"
+#include "retry/fleet_retry_budget.h"
+
+namespace parsleyquay {
+
+// One instance of the fleet: serves callers' requests from backend servers,
+// and keeps the fleet's bounds together with the other instances.
+class Gateway {
+ public:
+  static Result<std::unique_ptr<Gateway>> Create(EventLoop& loop,
+                                                 HttpClient& http,
+                                                 GatewaySettings settings,
+                                                 CoordinationPort port,
+                                                 Dialect dialect);
+
+  // Leaves in order: is no longer named to callers, serves those that still
+  // come, finishes every request and stops the loop.
+  void BeginLeaving();
+
+  // Takes over bounds that have changed. What is listened on stays.
+  void UpdateSettings(const GatewaySettings& settings);
+
+  const GatewayMetrics& metrics() const { return this->context.metrics; }
+
+ private:
+  Gateway(EventLoop& loop,
+          HttpClient& http,
+          GatewaySettings settings,
+          CoordinationPort port,
+          Dialect dialect);
+  Result<void> Start();
+  MeshAgent::Handlers MakeMeshHandlers();
+  void OnRequest(std::shared_ptr<ServerExchange> exchange);
+  void OnReadinessQuestion(ServerExchange& exchange);
+  void OnAddressQuestion(ServerExchange& exchange);
+  void OnMetricsQuestion(ServerExchange& exchange);
+  void OnDigest(const Digest& digest);
+  void OnRole(const MeshRole& role);
+  void CheckFinished();
+  bool is_ready() const;
+
+  GatewayContext context;
+  MeshAgent mesh;
+  ServerList list;
+  ServerDesk servers;
+  AllowanceDesk allowances;
+  ConfigurationDesk configuration;
+  std::map<std::string, FleetRetryBudget> retry_budgets;
+  std::unique_ptr<HttpServer> request_server;
+  std::unique_ptr<HttpServer> readiness_server;
+  std::unique_ptr<HttpServer> directory_server;
+  std::unique_ptr<HttpServer> metrics_server;
+  Timer flush_timer;
+  Timer leave_timer;
+  std::optional<TimePoint> leaving_since;
+  bool has_stopped_listening = false;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/libraries/gateway/gateway_context.h
@@ -0,0 +1,60 @@
+#ifndef PARSLEYQUAY_GATEWAY_GATEWAY_CONTEXT_H_
+#define PARSLEYQUAY_GATEWAY_GATEWAY_CONTEXT_H_
+
+#include <memory>
+#include <random>
+#include <string>
+
+#include "coordination/coordination_port.h"
+#include "event/event_loop.h"
+#include "gateway/dialect.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
+#include "http/http_client.h"
+#include "mesh/member_table.h"
+#include "peer/peer_link.h"
+#include "routing/routing_table.h"
+
+namespace parsleyquay {
+
+// What the parts of one instance share. Each part changes only what is its
+// own: the configuration desk `routing`, the mesh agent `members` and `peers`.
+struct GatewayContext {
+  GatewayContext(EventLoop& loop,
+                 GatewaySettings settings,
+                 HttpClient& http,
+                 CoordinationPort port,
+                 Dialect dialect)
+      : loop(loop),
+        settings(std::move(settings)),
+        http(http),
+        port(std::move(port)),
+        dialect(std::move(dialect)),
+        random(std::random_device()()) {}
+
+  EventLoop& loop;
+  GatewaySettings settings;
+  HttpClient& http;
+  CoordinationPort port;
+  Dialect dialect;
+  std::mt19937_64 random;
+  std::string incarnation;
+  GatewayMetrics metrics;
+  std::shared_ptr<const RoutingTable> routing;  // null until one is known
+  MemberTable members;
+  std::unique_ptr<PeerLink> peers;  // null until the shared secret is known
+  bool is_leaving = false;
+  std::size_t active_requests = 0;
+
+  TimePoint Now() const { return this->loop.Now(); }
+  std::size_t member_count() const {
+    return std::max<std::size_t>(1, this->members.members.size());
+  }
+  std::uint64_t configuration_version() const {
+    return this->routing ? this->routing->configuration().version : 0;
+  }
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_GATEWAY_CONTEXT_H_
--- /dev/null
+++ b/libraries/gateway/mesh_agent.cc
@@ -0,0 +1,411 @@
+#include "gateway/mesh_agent.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "base/random_id.h"
+#include "logging/event_log.h"
+
+namespace parsleyquay {
+
+namespace {
+
+constexpr char kHeartbeat[] = "heartbeat";
+constexpr char kOutcome[] = "outcome";
+constexpr char kDigest[] = "digest";
+
+// Good outcomes are shared within 250 ms, failures at once.
+constexpr Duration kTick = milliseconds(250);
+constexpr Duration kUrgentDelay = milliseconds(5);
+constexpr Duration kLongestDigestGap = milliseconds(500);
+constexpr Duration kHeartbeatInterval = milliseconds(1'000);
+
+// Two missed digests and a margin.
+constexpr Duration kAggregatorSilence = milliseconds(1'100);
+
+constexpr Duration kSecretRetry = milliseconds(700);
+constexpr std::size_t kSecretBytes = 32;
+
+// Members are heard of by heartbeats; their records are read only in case that
+// a whole failure domain has been out of hearing.
+constexpr FollowPlan kMemberPlan = {.interval = seconds(30),
+                                    .timeout = milliseconds(700)};
+
+std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
+  methods.insert(methods.end(), {kHeartbeat, kOutcome, kDigest});
+  return methods;
+}
+
+}  // namespace
+
+MeshAgent::MeshAgent(GatewayContext& context,
+                     std::vector<std::string> message_methods,
+                     Handlers handlers)
+    : context(context),
+      message_methods(std::move(message_methods)),
+      handlers(std::move(handlers)),
+      follower(context.loop,
+               "members",
+               context.port.members,
+               kMemberPlan,
+               {.on_changes =
+                    [this](const std::vector<MemberChange>& changes,
+                           ChangeSet) { this->OnMemberChanges(changes); }}),
+      tick_timer(context.loop, [this] { this->OnTick(); }),
+      urgent_timer(context.loop, [this] { this->SendDigest(); }),
+      retry_timer(context.loop, [this] { this->AgreeOnSecret(); }) {}
+
+void MeshAgent::Start() {
+  this->follower.Start();
+  this->AgreeOnSecret();
+  this->tick_timer.StartRepeating(kTick);
+}
+
+void MeshAgent::Announce() {
+  if (this->context.peers) {
+    this->SendHeartbeat();
+  }
+}
+
+void MeshAgent::Leave(std::function<void()> on_done) {
+  this->context.port.publish_member(
+      {this->context.settings.name, std::nullopt},
+      [on_done = std::move(on_done)](PublishOutcome) { on_done(); });
+}
+
+void MeshAgent::Report(const OutcomeReport& report) {
+  const bool has_aggregator = this->context.peers && !this->aggregators.empty();
+  if (this->current_role.is_aggregator || !has_aggregator) {
+    this->CollectOutcome(report);
+    return;
+  }
+  this->context.peers->Send(this->AddressOf(this->aggregators.front()),
+                            kOutcome, EncodeOutcome(report));
+  // A good outcome comes back with the next digest and counts only then; a
+  // failure must not draw another request before that.
+  if (IsUrgent(report.outcome) || this->current_role.is_alone) {
+    OutcomeSummary own;
+    AddOutcome(own, report, this->context.Now());
+    this->handlers.on_outcomes(own);
+  }
+}
+
+void MeshAgent::AgreeOnSecret() {
+  this->context.port.agree_on_secret(
+      RandomHex(kSecretBytes), [this](std::optional<std::string> secret) {
+        if (!secret) {
+          this->retry_timer.StartOnce(kSecretRetry);
+          return;
+        }
+        this->OpenLink(*secret);
+        this->PublishRecord();
+      });
+}
+
+void MeshAgent::OpenLink(const std::string& secret) {
+  const bool is_open = RunOrReport(
+      [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(
+            this->context.peers,
+            PeerLink::Create(
+                this->context.loop, this->context.settings.peer_address, secret,
+                WithOwnMethods(this->message_methods),
+                [this](const std::string& method, const Json::Value& value) {
+                  this->OnPeerMessage(method, value);
+                }));
+        return {};
+      },
+      [](const Error& error) { LogError("peers_unavailable", error); });
+  if (is_open) {
+    LogEvent(LogLevel::kInfo, "peers_ready",
+             {{"address", this->context.settings.peer_address}});
+    this->UpdateRole();
+    this->SendHeartbeat();
+  }
+}
+
+void MeshAgent::PublishRecord() {
+  this->context.port.publish_member(
+      {this->context.settings.name, this->OwnRecord()},
+      [this](PublishOutcome outcome) {
+        if (outcome != PublishOutcome::kDone && !this->context.is_leaving) {
+          this->retry_timer.StartOnce(kSecretRetry);
+        }
+      });
+}
+
+void MeshAgent::OnMemberChanges(const std::vector<MemberChange>& changes) {
+  const TimePoint now = this->context.Now();
+  for (const MemberChange& change : changes) {
+    if (change.name == this->context.settings.name) {
+      continue;
+    }
+    if (change.record) {
+      NoteRecord(this->context.members, *change.record, now);
+      continue;
+    }
+    RemoveMember(this->context.members, change.name);
+  }
+  this->UpdateRole();
+}
+
+void MeshAgent::OnPeerMessage(const std::string& method,
+                              const Json::Value& parameters) {
+  if (method == kHeartbeat) {
+    this->OnHeartbeat(parameters);
+  } else if (method == kOutcome) {
+    this->OnOutcome(parameters);
+  } else if (method == kDigest) {
+    this->OnDigest(parameters);
+  } else {
+    this->handlers.on_message(method, parameters);
+  }
+}
+
+void MeshAgent::OnHeartbeat(const Json::Value& parameters) {
+  const auto heartbeat = DecodeHeartbeat(parameters);
+  if (!heartbeat) {
+    Count(this->context.metrics, "peer_messages_malformed");
+    return;
+  }
+  const MemberStatus& status = heartbeat->status;
+  const auto known = this->context.members.members.find(status.record.name);
+  const bool is_news = known == this->context.members.members.end() ||
+                       known->second.status != status;
+  NoteStatus(this->context.members, status, Duration(0), this->context.Now());
+  if (is_news) {
+    LogEvent(LogLevel::kInfo, "member",
+             {{"member", status.record.name},
+              {"incarnation", status.record.incarnation},
+              {"ready", status.is_ready ? "yes" : "no"},
+              {"leaving", status.is_leaving ? "yes" : "no"},
+              {"duties", std::to_string(status.duties.size())}});
+    this->members_sent_at = TimePoint();
+    if (this->current_role.is_aggregator) {
+      this->ScheduleUrgentDigest();
+    }
+  }
+}
+
+void MeshAgent::OnOutcome(const Json::Value& parameters) {
+  const auto report = DecodeOutcome(parameters);
+  if (!report) {
+    Count(this->context.metrics, "peer_messages_malformed");
+    return;
+  }
+  this->CollectOutcome(*report);
+}
+
+void MeshAgent::CollectOutcome(const OutcomeReport& report) {
+  const TimePoint now = this->context.Now();
+  OutcomeSummary seen;
+  AddOutcome(seen, report, now);
+  this->handlers.on_outcomes(seen);
+  AddSummary(this->own_domain_outcomes, seen);
+  if (IsUrgent(report.outcome)) {
+    this->ScheduleUrgentDigest();
+  }
+}
+
+void MeshAgent::ScheduleUrgentDigest() {
+  if (this->context.peers) {
+    this->urgent_timer.StartOnce(kUrgentDelay);
+  }
+}
+
+void MeshAgent::OnDigest(const Json::Value& parameters) {
+  const TimePoint now = this->context.Now();
+  const auto digest = DecodeDigest(parameters, now);
+  if (!digest) {
+    Count(this->context.metrics, "peer_messages_malformed");
+    return;
+  }
+  for (const DigestMember& member : digest->members) {
+    if (member.status.record.name != this->context.settings.name) {
+      NoteStatus(this->context.members, member.status, member.age, now);
+    }
+  }
+  const auto sender = this->context.members.members.find(digest->sender);
+  if (sender != this->context.members.members.end()) {
+    sender->second.heard_at = now;
+    sender->second.suspected_until = TimePoint();
+  }
+  const bool is_own_aggregator =
+      !this->aggregators.empty() && digest->sender == this->aggregators.front();
+  if (is_own_aggregator) {
+    this->digest_at = now;
+  }
+  this->handlers.on_outcomes(digest->outcomes);
+  this->handlers.on_digest(*digest);
+  if (this->current_role.is_aggregator) {
+    AddSummary(this->other_domain_outcomes, digest->outcomes);
+    if (HasUrgent(digest->outcomes)) {
+      this->ScheduleUrgentDigest();
+    }
+  }
+  this->UpdateRole();
+}
+
+void MeshAgent::OnTick() {
+  const TimePoint now = this->context.Now();
+  NoteStatus(this->context.members, this->OwnStatus(), Duration(0), now);
+  const bool is_first_silent =
+      !this->aggregators.empty() &&
+      this->aggregators.front() != this->context.settings.name &&
+      now - std::max(this->digest_at, this->first_since) > kAggregatorSilence;
+  if (is_first_silent) {
+    LogEvent(LogLevel::kWarning, "aggregator_silent",
+             {{"member", this->aggregators.front()}});
+    SuspectMember(this->context.members, this->aggregators.front(), now);
+  }
+  this->UpdateRole();
+  if (!this->context.peers) {
+    return;
+  }
+  if (this->current_role.is_aggregator) {
+    const bool has_news = !this->own_domain_outcomes.empty() ||
+                          !this->other_domain_outcomes.empty();
+    if (has_news || now - this->digest_sent_at >= kLongestDigestGap) {
+      this->SendDigest();
+    }
+    return;
+  }
+  if (now - this->heartbeat_sent_at >= kHeartbeatInterval) {
+    this->SendHeartbeat();
+  }
+}
+
+void MeshAgent::UpdateRole() {
+  const TimePoint now = this->context.Now();
+  NoteStatus(this->context.members, this->OwnStatus(), Duration(0), now);
+  const std::string before =
+      this->aggregators.empty() ? "" : this->aggregators.front();
+  this->aggregators = RankAggregators(
+      this->context.members, this->context.settings.failure_domain, now);
+  const std::string& name = this->context.settings.name;
+  const bool has_first = !this->aggregators.empty();
+  if (has_first && this->aggregators.front() != before) {
+    this->first_since = now;
+    LogEvent(LogLevel::kInfo, "aggregator",
+             {{"member", this->aggregators.front()}, {"before", before}});
+  }
+  MeshRole role;
+  role.is_aggregator = has_first && this->aggregators.front() == name;
+  role.is_standby = this->aggregators.size() > 1 && this->aggregators[1] == name;
+  role.is_alone = !role.is_aggregator &&
+                  now - this->digest_at > kAggregatorSilence;
+  if (role != this->current_role) {
+    this->current_role = role;
+    this->handlers.on_role(role);
+  }
+}
+
+void MeshAgent::SendHeartbeat() {
+  this->heartbeat_sent_at = this->context.Now();
+  constexpr std::size_t kReceivers = 2;  // the aggregator and its standby
+  std::vector<std::string> addresses;
+  for (const std::string& member : this->aggregators) {
+    if (addresses.size() < kReceivers &&
+        member != this->context.settings.name) {
+      addresses.push_back(this->AddressOf(member));
+    }
+  }
+  this->context.peers->SendToAll(addresses, kHeartbeat,
+                                 EncodeHeartbeat({this->OwnStatus()}));
+}
+
+void MeshAgent::SendDigest() {
+  if (!this->current_role.is_aggregator || !this->context.peers) {
+    return;
+  }
+  const TimePoint now = this->context.Now();
+  Digest digest{.sender = this->context.settings.name};
+  this->handlers.fill_digest(digest);
+  const bool names_members = now - this->members_sent_at >= kHeartbeatInterval;
+  if (names_members) {
+    digest.members = this->DescribeMembers(MemberScope::kOwnDomain);
+    this->members_sent_at = now;
+  }
+  digest.outcomes = std::exchange(this->own_domain_outcomes, {});
+  this->context.peers->SendToAll(this->OtherAggregatorAddresses(), kDigest,
+                                 EncodeDigest(digest, now));
+  AddSummary(digest.outcomes, std::exchange(this->other_domain_outcomes, {}));
+  if (names_members) {
+    digest.members = this->DescribeMembers(MemberScope::kAll);
+  }
+  this->context.peers->SendToAll(this->OwnDomainAddresses(), kDigest,
+                                 EncodeDigest(digest, now));
+  this->digest_sent_at = now;
+}
+
+std::vector<DigestMember> MeshAgent::DescribeMembers(
+    MemberScope scope) const {
+  const TimePoint now = this->context.Now();
+  std::vector<DigestMember> members;
+  for (const auto& [name, entry] : this->context.members.members) {
+    const bool is_wanted = scope == MemberScope::kAll ||
+                           entry.status.record.failure_domain ==
+                               this->context.settings.failure_domain;
+    if (is_wanted && IsAlive(entry, now)) {
+      members.push_back({entry.status, now - entry.heard_at});
+    }
+  }
+  return members;
+}
+
+std::vector<std::string> MeshAgent::OwnDomainAddresses() const {
+  const TimePoint now = this->context.Now();
+  std::vector<std::string> addresses;
+  for (const auto& [name, entry] : this->context.members.members) {
+    const MemberRecord& record = entry.status.record;
+    if (name != this->context.settings.name && IsAlive(entry, now) &&
+        record.failure_domain == this->context.settings.failure_domain) {
+      addresses.push_back(record.peer_address);
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string> MeshAgent::OtherAggregatorAddresses() const {
+  const TimePoint now = this->context.Now();
+  std::set<std::string> domains;
+  for (const auto& [name, entry] : this->context.members.members) {
+    domains.insert(entry.status.record.failure_domain);
+  }
+  domains.erase(this->context.settings.failure_domain);
+  std::vector<std::string> addresses;
+  for (const std::string& domain : domains) {
+    const auto ranked = RankAggregators(this->context.members, domain, now);
+    if (!ranked.empty()) {
+      addresses.push_back(this->AddressOf(ranked.front()));
+    }
+  }
+  return addresses;
+}
+
+std::string MeshAgent::AddressOf(const std::string& name) const {
+  const auto found = this->context.members.members.find(name);
+  return found == this->context.members.members.end()
+             ? ""
+             : found->second.status.record.peer_address;
+}
+
+MemberRecord MeshAgent::OwnRecord() const {
+  const GatewaySettings& settings = this->context.settings;
+  return {.name = settings.name,
+          .failure_domain = settings.failure_domain,
+          .request_address = settings.request_address,
+          .peer_address = settings.peer_address,
+          .incarnation = this->context.incarnation};
+}
+
+MemberStatus MeshAgent::OwnStatus() const {
+  return {.record = this->OwnRecord(),
+          .is_ready = this->context.routing && !this->context.is_leaving,
+          .is_leaving = this->context.is_leaving,
+          .duties = this->handlers.duties()};
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/request_attempt.cc
@@ -0,0 +1,410 @@
+// The attempts of a request at backend servers, and what follows them.
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <utility>
+
+#include "gateway/request_flow.h"
+#include "logging/event_log.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// Answers up to these sizes are held until they are whole: of requests that
+// may be sent again, so that a broken answer can be fetched anew; of others,
+// so that a short one that breaks is a clean failure.
+constexpr std::size_t kHeldRepeatableBytes = 640 * 1024;
+constexpr std::size_t kHeldOnceBytes = 64 * 1024;
+
+// Machines answer the opening of a connection within a few milliseconds. What
+// is not answered was not sent, so another server can be tried.
+constexpr Duration kConnectTimeout = milliseconds(350);
+
+// An attempt that took this many times the usual work and got no answer is
+// held against the server; a shorter one was only cut by its time limit.
+constexpr int kBrokenWorkFactor = 4;
+
+// A server that could not be reached was not sent the request; so many may be
+// tried besides those that were.
+constexpr std::size_t kMostTried = 5;
+
+constexpr int kMisdirectedStatus = 421;
+constexpr int kGatewayTimeoutStatus = 504;
+constexpr int kFirstServerError = 500;
+constexpr int kServiceUnavailableStatus = 503;
+constexpr int kTooManyRequestsStatus = 429;
+constexpr int kRequestTimeoutStatus = 408;
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+// Statuses by which this instance promises that a request has not run. A
+// server's own answer must not be taken for one.
+bool LooksLikePromise(int status) {
+  constexpr std::array kPromises = {
+      kServiceUnavailableStatus, kTooManyRequestsStatus, kRequestTimeoutStatus,
+      kMisdirectedStatus};
+  return std::ranges::find(kPromises, status) != kPromises.end();
+}
+
+bool IsAnyOf(const std::string& name,
+             std::initializer_list<std::string_view> names) {
+  return std::ranges::any_of(names, [&](std::string_view other) {
+    return IsSameHeaderName(name, other);
+  });
+}
+
+std::string_view AttemptEndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kServerError:
+      return "server_error";
+    case AttemptEnd::kShed:
+      return "shed";
+    case AttemptEnd::kNeverSent:
+      return "never_sent";
+    case AttemptEnd::kBroken:
+      return "broken";
+    case AttemptEnd::kWrongAnswer:
+      return "wrong_answer";
+    case AttemptEnd::kStalled:
+      return "stalled";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void RequestFlow::Send(ServerLease lease) {
+  this->tried.insert(lease.server);
+  this->attempt = Attempt{};
+  this->attempt.lease = std::move(lease);
+  if (this->tried.size() == 1) {
+    EarnRetry(this->parts.retry_budgets[this->service],
+              this->parts.retry_bound());
+  }
+  const std::weak_ptr<RequestFlow> weak = this->shared_from_this();
+  CallHandlers handlers;
+  handlers.read_body = [weak](char* buffer, std::size_t capacity) {
+    const auto flow = weak.lock();
+    return flow ? flow->ReadBody(buffer, capacity) : BodyChunk{};
+  };
+  handlers.on_head = [weak](int status, const HeaderList& headers) {
+    if (const auto flow = weak.lock()) {
+      flow->OnHead(status, headers);
+    }
+  };
+  handlers.on_data = [weak](std::string_view data) {
+    const auto flow = weak.lock();
+    return flow ? flow->OnData(data) : true;
+  };
+  handlers.on_done = [weak](const CallResult& result) {
+    if (const auto flow = weak.lock()) {
+      flow->OnDone(result);
+    }
+  };
+  this->attempt.call =
+      this->context.http.Start(this->MakeCall(), std::move(handlers));
+  this->StartTimer();
+}
+
+CallRequest RequestFlow::MakeCall() const {
+  const Dialect& dialect = this->context.dialect;
+  CallRequest call;
+  call.method = this->exchange->method();
+  call.address = this->attempt.lease.address;
+  call.target = this->exchange->target();
+  call.headers = EndToEndHeaders(this->exchange->headers());
+  std::erase_if(call.headers, [&](const Header& header) {
+    return IsAnyOf(header.name,
+                   {"Authorization", "Content-Length", "Expect",
+                    dialect.workspace, dialect.expected_server,
+                    dialect.time_left});
+  });
+  call.headers.push_back(
+      {dialect.time_left, std::to_string(ToMilliseconds(this->time_left()))});
+  call.headers.push_back(
+      {dialect.expected_server, this->attempt.lease.server});
+  if (!this->workspace.empty()) {
+    call.headers.push_back({dialect.workspace, this->workspace});
+  }
+  call.connection_use = this->route().is_idempotent ? ConnectionUse::kReusable
+                                                    : ConnectionUse::kFresh;
+  call.connect_timeout = std::min(kConnectTimeout, this->time_left());
+  const auto length =
+      ReadUnsigned(this->exchange->headers(), "Content-Length");
+  call.has_body =
+      length || FindHeader(this->exchange->headers(), "Transfer-Encoding");
+  call.body_length =
+      this->is_body_held_whole ? std::optional(this->body.size()) : length;
+  return call;
+}
+
+BodyChunk RequestFlow::ReadBody(char* buffer, std::size_t capacity) {
+  const std::size_t held = this->body.size() - this->attempt.body_sent;
+  if (held > 0) {
+    const std::size_t size = std::min(held, capacity);
+    std::memcpy(buffer, this->body.data() + this->attempt.body_sent, size);
+    this->attempt.body_sent += size;
+    return {BodyState::kData, size};
+  }
+  if (this->is_body_held_whole) {
+    return {BodyState::kEnd, 0};
+  }
+  const std::size_t size = this->exchange->ReadBody(buffer, capacity);
+  if (size > 0) {
+    return {BodyState::kData, size};
+  }
+  return {
+      this->exchange->is_body_complete() ? BodyState::kEnd : BodyState::kWait,
+      0};
+}
+
+void RequestFlow::OnHead(int status, const HeaderList& headers) {
+  this->attempt.status = status;
+  this->attempt.headers = headers;
+  const std::string load =
+      HeaderText(headers, this->context.dialect.load);
+  if (!load.empty()) {
+    this->attempt.load = this->context.dialect.parse_load(load);
+  }
+  this->attempt.fault = this->FindFault();
+}
+
+// What the head says of whether the answer can be one to this request.
+std::optional<AttemptEnd> RequestFlow::FindFault() const {
+  const Dialect& dialect = this->context.dialect;
+  const HeaderList& headers = this->attempt.headers;
+  const int status = this->attempt.status;
+  if (status == kMisdirectedStatus ||
+      FindHeader(headers, dialect.not_run) != nullptr) {
+    return AttemptEnd::kShed;
+  }
+  const bool is_echoed =
+      HeaderText(headers, dialect.request_id) == this->request_id;
+  const bool is_signed =
+      FindHeader(headers, dialect.answer_signature) != nullptr;
+  const bool is_encoded = FindHeader(headers, "Content-Encoding") != nullptr;
+  if (!is_echoed || is_encoded || (IsSuccess(status) && !is_signed)) {
+    return AttemptEnd::kWrongAnswer;
+  }
+  if (status >= kFirstServerError) {
+    return AttemptEnd::kServerError;
+  }
+  return std::nullopt;
+}
+
+bool RequestFlow::OnData(std::string_view data) {
+  if (this->has_begun_answer) {
+    if (!this->exchange->has_room()) {
+      return false;
+    }
+    this->exchange->Write(data);
+    return true;
+  }
+  if (this->attempt.fault && *this->attempt.fault != AttemptEnd::kServerError) {
+    return true;
+  }
+  this->attempt.held += data;
+  const std::size_t most = this->route().is_idempotent ? kHeldRepeatableBytes
+                                                       : kHeldOnceBytes;
+  if (!this->attempt.fault && this->attempt.held.size() > most) {
+    this->BeginAnswer(ReadUnsigned(this->attempt.headers, "Content-Length"));
+  }
+  return true;
+}
+
+void RequestFlow::OnDone(const CallResult& result) {
+  this->attempt.call = nullptr;
+  switch (result.outcome) {
+    case CallOutcome::kNeverSent:
+      this->EndAttempt(AttemptEnd::kNeverSent);
+      return;
+    case CallOutcome::kBroken:
+    case CallOutcome::kTimedOut:
+      // A head that says "not run" counts even if what follows it broke.
+      this->EndAttempt(this->attempt.fault == AttemptEnd::kShed
+                           ? AttemptEnd::kShed
+                           : AttemptEnd::kBroken);
+      return;
+    case CallOutcome::kComplete:
+      this->EndAttempt(this->attempt.fault.value_or(AttemptEnd::kAnswered));
+      return;
+  }
+}
+
+void RequestFlow::EndAttempt(AttemptEnd end) {
+  this->LogAttempt(AttemptEndName(end));
+  if (this->attempt.call) {
+    this->attempt.call->Cancel();
+    this->attempt.call = nullptr;
+  }
+  if (this->attempt.status == kMisdirectedStatus) {
+    this->parts.servers.NoteMisdirected(this->attempt.lease);
+  }
+  const bool is_not_run =
+      end == AttemptEnd::kShed || end == AttemptEnd::kNeverSent;
+  this->may_have_run = this->may_have_run || !is_not_run;
+  this->unreached += end == AttemptEnd::kNeverSent ? 1 : 0;
+  this->ReleaseServer(this->OutcomeOf(end));
+  this->TakeStep(end, this->DecideNext(end));
+}
+
+void RequestFlow::ReleaseServer(std::optional<Outcome> outcome) {
+  this->parts.servers.Release(this->attempt.lease, outcome,
+                              this->attempt.load);
+}
+
+std::optional<Outcome> RequestFlow::OutcomeOf(AttemptEnd end) const {
+  const Duration elapsed =
+      this->context.Now() - this->attempt.lease.taken_at;
+  const bool is_long =
+      elapsed >
+      this->parts.servers.UsualWork(this->service) * kBrokenWorkFactor;
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return this->attempt.is_overdue ? std::nullopt
+                                      : std::optional(Outcome::kServed);
+    case AttemptEnd::kServerError:
+      if (this->attempt.status == kGatewayTimeoutStatus) {
+        return std::nullopt;
+      }
+      return Outcome::kFailed;
+    case AttemptEnd::kShed:
+      return Outcome::kShed;
+    case AttemptEnd::kNeverSent:
+      return Outcome::kUnreachable;
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kWrongAnswer:
+      return Outcome::kBroken;
+    case AttemptEnd::kStalled:
+      return is_long ? std::optional(Outcome::kBroken) : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+NextStep RequestFlow::DecideNext(AttemptEnd end) {
+  const AttemptContext situation{
+      .is_idempotent = this->route().is_idempotent,
+      .has_begun_answer = this->has_begun_answer,
+      .can_replay_body = this->MayRetry(end),
+      .attempts = static_cast<long>(this->tried.size()) - 1,
+      .time_left = this->time_left()};
+  const NextStep step = ChooseNextStep(end, situation);
+  // A server that was never reached got no request, and costs no retry.
+  if (step == NextStep::kRetry && end != AttemptEnd::kNeverSent) {
+    SpendRetry(this->parts.retry_budgets[this->service],
+               this->parts.retry_bound(), this->parts.place(),
+               this->context.Now());
+  }
+  return step;
+}
+
+bool RequestFlow::MayRetry(AttemptEnd end) const {
+  if (!this->is_body_held_whole || this->tried.size() >= kMostTried) {
+    return false;
+  }
+  if (end == AttemptEnd::kNeverSent) {
+    return true;
+  }
+  const auto reached = static_cast<long>(this->tried.size() - this->unreached);
+  return reached < std::max(1L, this->route().most_servers) &&
+         HasRetry(this->parts.retry_budgets[this->service],
+                  this->parts.retry_bound(), this->parts.place(),
+                  this->context.Now());
+}
+
+void RequestFlow::TakeStep(AttemptEnd end, NextStep step) {
+  switch (step) {
+    case NextStep::kDeliver:
+      this->DeliverAnswer();
+      return;
+    case NextStep::kRetry:
+      this->Place();
+      return;
+    case NextStep::kRefuseNotRun:
+      this->Refuse(this->may_have_run
+                       ? Refusal{RefusalReason::kServerFailed}
+                       : Refusal{RefusalReason::kNotRun,
+                                 this->parts.servers.UsualWork(this->service)});
+      return;
+    case NextStep::kAnswerUnknown:
+    case NextStep::kAnswerFailed:
+      this->Refuse({end == AttemptEnd::kStalled ? RefusalReason::kTimedOut
+                                                : RefusalReason::kServerFailed});
+      return;
+    case NextStep::kResume:
+    case NextStep::kCutAnswer:
+      this->exchange->Abort();
+      this->Close("answer_cut", this->attempt.status);
+      return;
+  }
+}
+
+void RequestFlow::BeginAnswer(std::optional<std::uint64_t> length) {
+  const Dialect& dialect = this->context.dialect;
+  HeaderList headers = EndToEndHeaders(this->attempt.headers);
+  std::erase_if(headers, [&](const Header& header) {
+    return IsAnyOf(header.name,
+                   {"Content-Length", dialect.load, dialect.server_id,
+                    dialect.cold_remaining, dialect.not_run});
+  });
+  this->has_begun_answer = true;
+  this->exchange->BeginResponse(this->attempt.status, std::move(headers),
+                                length);
+  this->exchange->Write(std::exchange(this->attempt.held, {}));
+}
+
+void RequestFlow::DeliverAnswer() {
+  // A server that did run the request must not seem to promise that it has
+  // not.
+  if (!this->has_begun_answer && LooksLikePromise(this->attempt.status)) {
+    this->Refuse({RefusalReason::kServerFailed});
+    return;
+  }
+  if (!this->has_begun_answer) {
+    this->BeginAnswer(this->attempt.held.size());
+  }
+  this->exchange->Finish();
+  this->Close(IsSuccess(this->attempt.status) ? "served" : "server_answer",
+              this->attempt.status);
+}
+
+// The answer is later than most. The server is doubted; what may run twice is
+// sent to another one while the first has given no sign.
+void RequestFlow::OnOverdue() {
+  if (!this->attempt.call || this->attempt.is_overdue) {
+    return;
+  }
+  this->attempt.is_overdue = true;
+  this->parts.servers.Note(this->attempt.lease, Outcome::kOverdue);
+  const bool may_move = this->route().is_idempotent &&
+                        this->attempt.status == 0 &&
+                        !this->context.is_leaving &&
+                        this->MayRetry(AttemptEnd::kStalled);
+  if (may_move) {
+    this->EndAttempt(AttemptEnd::kStalled);
+  }
+}
+
+void RequestFlow::LogAttempt(std::string_view outcome) const {
+  const ServerLease& lease = this->attempt.lease;
+  const Duration elapsed = this->context.Now() - lease.taken_at;
+  LogEvent(
+      LogLevel::kInfo, "attempt",
+      {{"request", this->request_id},
+       {"server", lease.server},
+       {"outcome", std::string(outcome)},
+       {"status", std::to_string(this->attempt.status)},
+       {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
+       {"failure_percent",
+        std::to_string(static_cast<int>(lease.failure_probability * 100))},
+       {"load", std::to_string(static_cast<int>(lease.load))},
+       {"repeatable", this->route().is_idempotent ? "yes" : "no"}});
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/request_flow.cc
@@ -0,0 +1,291 @@
+#include "gateway/request_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/event_log.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// Requests are held up to this size, so that they can be sent again.
+constexpr std::size_t kHeldBodyBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+// For a route without a timeout whose caller names no time either.
+constexpr Duration kLongestTime = seconds(30);
+
+// How long a request may wait for its allowance: a small part of its time.
+constexpr Duration kLongestAllowanceWait = milliseconds(300);
+constexpr int kAllowanceWaitDivisor = 8;
+
+// When nothing is known of when a server has room again.
+constexpr Duration kUsualRetryAfter = milliseconds(400);
+
+// Callers that are refused together do not return together.
+constexpr double kRetryAfterSpread = 0.5;
+
+std::size_t HeadBytes(const ServerExchange& exchange) {
+  std::size_t bytes = exchange.method().size() + exchange.target().size();
+  for (const Header& header : exchange.headers()) {
+    bytes += header.name.size() + header.value.size() + 4;  // ": " and CRLF
+  }
+  return bytes;
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(RequestParts parts,
+                         std::shared_ptr<ServerExchange> exchange)
+    : parts(parts),
+      context(parts.context),
+      exchange(std::move(exchange)),
+      started_at(parts.context.Now()),
+      timer(parts.context.loop, [this] { this->OnTimer(); }) {
+  ++this->context.active_requests;
+}
+
+RequestFlow::~RequestFlow() {
+  --this->context.active_requests;
+}
+
+void RequestFlow::Start() {
+  this->self = this->shared_from_this();
+  const std::weak_ptr<RequestFlow> weak = this->self;
+  const auto call = [weak](void (RequestFlow::*member)()) {
+    return [weak, member] {
+      if (const auto flow = weak.lock()) {
+        ((*flow).*member)();
+      }
+    };
+  };
+  this->exchange->SetHandlers({.on_body = call(&RequestFlow::CollectBody),
+                               .on_writable = call(&RequestFlow::OnCallerReady),
+                               .on_closed = call(&RequestFlow::OnCallerGone)});
+  this->request_id = HeaderText(this->exchange->headers(),
+                                this->context.dialect.request_id);
+  this->routing = this->context.routing;
+  if (!this->routing) {
+    this->Refuse({RefusalReason::kNotConfigured, kUsualRetryAfter});
+    return;
+  }
+  if (!this->CheckHead() || !this->FindWorkspace()) {
+    return;
+  }
+  this->ReadDeadline();
+  this->service = DrawService(this->route(), this->context.random());
+  this->StartTimer();
+  this->CollectBody();
+}
+
+bool RequestFlow::CheckHead() {
+  const HeaderList& headers = this->exchange->headers();
+  const CallerLimits& limits = this->routing->configuration().limits;
+  if (HeadBytes(*this->exchange) > limits.most_header_bytes) {
+    this->Refuse({RefusalReason::kHeadTooLarge});
+    return false;
+  }
+  if (ReadUnsigned(headers, "Content-Length").value_or(0) >
+      limits.most_body_bytes) {
+    this->Refuse({RefusalReason::kBodyTooLarge});
+    return false;
+  }
+  this->matched_route = this->routing->Find(HeaderText(headers, "Host"),
+                                            this->exchange->target());
+  if (!this->matched_route || this->route().services.empty()) {
+    this->Refuse({RefusalReason::kNoRoute});
+    return false;
+  }
+  return true;
+}
+
+bool RequestFlow::FindWorkspace() {
+  const bool needs_key = !this->route().is_public &&
+                         !this->routing->configuration().workspaces.empty();
+  if (!needs_key) {
+    return true;
+  }
+  const std::string* found =
+      this->routing->FindWorkspace(BearerKey(this->exchange->headers()));
+  if (!found) {
+    this->Refuse({RefusalReason::kNoKey});
+    return false;
+  }
+  this->workspace = *found;
+  return true;
+}
+
+void RequestFlow::ReadDeadline() {
+  const auto asked = ReadUnsigned(this->exchange->headers(),
+                                  this->context.dialect.time_left);
+  Duration time = this->route().timeout > Duration(0) ? this->route().timeout
+                                                      : kLongestTime;
+  if (asked && milliseconds(*asked) < time) {
+    time = milliseconds(*asked);
+  }
+  this->deadline = this->started_at + time;
+}
+
+// Collects the body until it is whole or as much as is held.
+void RequestFlow::CollectBody() {
+  if (this->is_closed) {
+    return;
+  }
+  if (this->is_body_collected) {
+    if (this->attempt.call) {
+      this->attempt.call->ResumeBody();
+    }
+    return;
+  }
+  std::array<char, kReadBytes> buffer;
+  while (this->body.size() < kHeldBodyBytes) {
+    const std::size_t room =
+        std::min(buffer.size(), kHeldBodyBytes - this->body.size());
+    const std::size_t size = this->exchange->ReadBody(buffer.data(), room);
+    if (size == 0) {
+      break;
+    }
+    this->body.append(buffer.data(), size);
+  }
+  this->is_body_held_whole = this->exchange->is_body_complete();
+  if (this->is_body_held_whole || this->body.size() >= kHeldBodyBytes) {
+    this->is_body_collected = true;
+    this->AskAllowance();
+  }
+}
+
+void RequestFlow::AskAllowance() {
+  if (this->workspace.empty()) {
+    this->Place();
+    return;
+  }
+  const Duration patience = std::min(
+      kLongestAllowanceWait, this->time_left() / kAllowanceWaitDivisor);
+  const std::weak_ptr<RequestFlow> weak = this->self;
+  this->parts.allowances.Ask(this->workspace, patience,
+                             [weak](const AllowanceVerdict& verdict) {
+                               if (const auto flow = weak.lock()) {
+                                 flow->OnAllowance(verdict);
+                               }
+                             });
+}
+
+void RequestFlow::OnAllowance(const AllowanceVerdict& verdict) {
+  if (this->is_closed) {
+    return;
+  }
+  this->allowance_source = verdict.source;
+  if (!verdict.is_granted) {
+    this->Refuse({RefusalReason::kOverAllowance, verdict.retry_after});
+    return;
+  }
+  this->Place();
+}
+
+void RequestFlow::Place() {
+  const auto lease = this->parts.servers.Take(
+      {.service = this->service,
+       .may_repeat = this->route().is_idempotent && this->tried.empty(),
+       .is_bulk = this->route().is_bulk,
+       .time_left = this->time_left(),
+       .tried = this->tried});
+  if (lease) {
+    this->Send(*lease);
+    return;
+  }
+  if (this->may_have_run) {
+    this->Refuse({RefusalReason::kServerFailed});
+    return;
+  }
+  this->Refuse({RefusalReason::kNoServer, kUsualRetryAfter});
+}
+
+void RequestFlow::OnTimer() {
+  if (this->is_closed) {
+    return;
+  }
+  if (this->time_left() > Duration(0)) {
+    this->OnOverdue();
+    this->StartTimer();
+    return;
+  }
+  if (!this->attempt.call) {
+    this->Refuse({this->may_have_run ? RefusalReason::kTimedOut
+                                     : RefusalReason::kTimedOutUnsent});
+    return;
+  }
+  this->EndAttempt(AttemptEnd::kStalled);
+}
+
+// Waits for the deadline, or for the time at which most answers have come.
+void RequestFlow::StartTimer() {
+  TimePoint next = this->deadline;
+  if (this->attempt.call && !this->attempt.is_overdue) {
+    next = std::min(next, this->attempt.lease.taken_at +
+                              this->route().latency_target);
+  }
+  this->timer.StartOnce(std::max(Duration(0), next - this->context.Now()));
+}
+
+void RequestFlow::OnCallerReady() {
+  if (this->attempt.call) {
+    this->attempt.call->ResumeData();
+  }
+}
+
+void RequestFlow::OnCallerGone() {
+  if (this->is_closed) {
+    return;
+  }
+  if (this->attempt.call) {
+    this->attempt.call->Cancel();
+    this->ReleaseServer(std::nullopt);
+    this->LogAttempt("caller_gone");
+  }
+  this->Close("caller_gone", 0);
+}
+
+void RequestFlow::Refuse(const Refusal& refusal) {
+  Refusal spread = refusal;
+  if (spread.retry_after) {
+    std::uniform_real_distribution<double> factor(1, 1 + kRetryAfterSpread);
+    spread.retry_after = std::chrono::duration_cast<Duration>(
+        *spread.retry_after * factor(this->context.random));
+  }
+  SendRefusal(*this->exchange, spread);
+  this->Close(RefusalName(refusal.reason), StatusOf(refusal.reason));
+}
+
+void RequestFlow::Close(std::string_view outcome, int status) {
+  const auto keep = std::move(this->self);
+  this->is_closed = true;
+  this->timer.Stop();
+  this->exchange->SetHandlers({});
+  const Duration elapsed = this->context.Now() - this->started_at;
+  const std::string route_name =
+      this->matched_route ? this->route().name : "-";
+  LogEvent(LogLevel::kInfo, "request",
+           {{"request", this->request_id},
+            {"outcome", std::string(outcome)},
+            {"status", std::to_string(status)},
+            {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
+            {"route", route_name},
+            {"service", this->service.empty() ? "-" : this->service},
+            {"workspace", this->workspace.empty() ? "-" : this->workspace},
+            {"allowance", std::string(AllowanceSourceName(
+                              this->allowance_source))},
+            {"servers", std::to_string(this->tried.size())},
+            {"time_left_ms", std::to_string(ToMilliseconds(this->time_left()))},
+            {"version",
+             std::to_string(this->context.configuration_version())}});
+  Count(this->context.metrics,
+        "requests{outcome=\"" + std::string(outcome) + "\"}");
+  Observe(this->context.metrics.histograms["request"], elapsed);
+}
+
+Duration RequestFlow::time_left() const {
+  return this->deadline - this->context.Now();
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/request_flow.h
@@ -0,0 +1,119 @@
+#ifndef PARSLEYQUAY_GATEWAY_REQUEST_FLOW_H_
+#define PARSLEYQUAY_GATEWAY_REQUEST_FLOW_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "gateway/allowance_desk.h"
+#include "gateway/gateway_context.h"
+#include "gateway/refusal.h"
+#include "gateway/server_desk.h"
+#include "http/server_exchange.h"
+#include "retry/attempt_outcome.h"
+#include "retry/fleet_retry_budget.h"
+
+namespace parsleyquay {
+
+// The parts of the instance that a request passes through.
+struct RequestParts {
+  GatewayContext& context;
+  AllowanceDesk& allowances;
+  ServerDesk& servers;
+  std::map<std::string, FleetRetryBudget>& retry_budgets;  // by service
+
+  RetryBound retry_bound() const {
+    const FleetBounds& bounds = this->context.settings.bounds;
+    return {bounds.retry_ratio, bounds.retry_slack, bounds.retry_window};
+  }
+  FleetPlace place() const {
+    return {RankOfMember(this->context.members, this->context.settings.name),
+            this->context.member_count()};
+  }
+};
+
+// One request on its way: checked, admitted, placed, sent and answered.
+class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
+ public:
+  RequestFlow(RequestParts parts, std::shared_ptr<ServerExchange> exchange);
+  ~RequestFlow();
+
+  void Start();
+
+ private:
+  // The attempt at one server.
+  struct Attempt {
+    std::shared_ptr<HttpCall> call;
+    ServerLease lease;
+    std::size_t body_sent = 0;  // of the held body
+    int status = 0;
+    HeaderList headers;
+    std::string held;  // of the answer, until it is whole or large
+    std::optional<AttemptEnd> fault;  // found in the head
+    bool is_overdue = false;
+    std::optional<ReportedLoad> load;
+  };
+
+  bool CheckHead();
+  bool FindWorkspace();
+  void ReadDeadline();
+  void CollectBody();
+  void AskAllowance();
+  void OnAllowance(const AllowanceVerdict& verdict);
+  void Place();
+  void Send(ServerLease lease);
+  CallRequest MakeCall() const;
+  BodyChunk ReadBody(char* buffer, std::size_t capacity);
+  void OnHead(int status, const HeaderList& headers);
+  std::optional<AttemptEnd> FindFault() const;
+  bool OnData(std::string_view data);
+  void OnDone(const CallResult& result);
+  void EndAttempt(AttemptEnd end);
+  void ReleaseServer(std::optional<Outcome> outcome);
+  std::optional<Outcome> OutcomeOf(AttemptEnd end) const;
+  NextStep DecideNext(AttemptEnd end);
+  void TakeStep(AttemptEnd end, NextStep step);
+  void BeginAnswer(std::optional<std::uint64_t> length);
+  void DeliverAnswer();
+  void OnTimer();
+  void StartTimer();
+  void OnOverdue();
+  bool MayRetry(AttemptEnd end) const;
+  void OnCallerReady();
+  void OnCallerGone();
+  void Refuse(const Refusal& refusal);
+  void LogAttempt(std::string_view outcome) const;
+  void Close(std::string_view outcome, int status);
+  Duration time_left() const;
+  const HostRoute& route() const { return *this->matched_route; }
+
+  RequestParts parts;
+  GatewayContext& context;
+  std::shared_ptr<ServerExchange> exchange;
+  std::shared_ptr<const RoutingTable> routing;  // keeps the route
+  const HostRoute* matched_route = nullptr;
+  std::string request_id;
+  std::string workspace;
+  std::string service;
+  TimePoint started_at;
+  TimePoint deadline;
+  std::string body;  // the first part, held to be sent again
+  bool is_body_held_whole = false;
+  bool is_body_collected = false;
+  std::set<std::string> tried;
+  std::size_t unreached = 0;  // of those tried
+  bool may_have_run = false;
+  bool has_begun_answer = false;
+  bool is_closed = false;
+  AllowanceSource allowance_source = AllowanceSource::kNoLimit;
+  Attempt attempt;
+  Timer timer;
+  // Keeps the flow while a callback of the exchange may come.
+  std::shared_ptr<RequestFlow> self;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_REQUEST_FLOW_H_
--- /dev/null
+++ b/libraries/gateway/server_desk.cc
@@ -0,0 +1,245 @@
+#include "gateway/server_desk.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "logging/event_log.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// What a request takes before any has been seen.
+constexpr Duration kUnknownWork = milliseconds(200);
+constexpr double kWorkSmoothing = 0.1;
+
+// A reported load halves in about the time of one request.
+constexpr double kLoadFadeSeconds = 0.4;
+
+// A path that failed once is tried again after some seconds.
+constexpr double kUnreachablePathFault = 0.85;
+constexpr double kBrokenPathFault = 0.3;
+constexpr double kPathFadeSeconds = 3;
+
+// Until the list names the server's new address, or that it is gone.
+constexpr Duration kMisdirectedPause = seconds(1);
+
+// A change of belief is logged when it passes this probability.
+constexpr double kDoubtfulProbability = 0.5;
+
+double SecondsOf(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+std::string ToPercent(double share) {
+  return std::to_string(std::lround(share * 100));
+}
+
+}  // namespace
+
+ServerDesk::ServerDesk(GatewayContext& context,
+                       const ServerList& list,
+                       OnReport on_report)
+    : context(context), list(list), on_report(std::move(on_report)) {}
+
+std::optional<ServerLease> ServerDesk::Take(const ServerWish& wish) {
+  const std::vector<std::string>& names = this->list.NamesOf(wish.service);
+  std::vector<PlacementCandidate> candidates(names.size());
+  std::ranges::transform(names, candidates.begin(),
+                         [&](const std::string& name) {
+                           return this->ToCandidate(name, wish);
+                         });
+  const PlacementNeed need{.may_repeat = wish.may_repeat,
+                           .is_bulk = wish.is_bulk,
+                           .usual_work = this->UsualWork(wish.service),
+                           .time_left = wish.time_left};
+  const auto drawn = DrawServer(candidates, need, this->context.random());
+  if (!drawn) {
+    return std::nullopt;
+  }
+  const std::string& server = names[*drawn];
+  const RosterEntry& entry = this->list.roster().servers.at(server);
+  const TimePoint now = this->context.Now();
+  if (now < entry.cold_until) {
+    NoteSentToCold(this->pacer, server, now);
+  }
+  ServerUse& use = this->UseOf(server);
+  ++use.in_flight;
+  ++use.sent_since_report;
+  return ServerLease{
+      .server = server,
+      .service = wish.service,
+      .address = entry.listing.address,
+      .taken_at = now,
+      .failure_probability = candidates[*drawn].failure_probability,
+      .load = candidates[*drawn].load};
+}
+
+void ServerDesk::Release(const ServerLease& lease,
+                         std::optional<Outcome> outcome,
+                         std::optional<ReportedLoad> load) {
+  ServerUse& use = this->UseOf(lease.server);
+  use.in_flight = std::max(0L, use.in_flight - 1);
+  long total = -1;
+  if (load) {
+    total = load->running + load->waiting;
+    use.reported_load = static_cast<double>(total);
+    use.reported_at = this->context.Now();
+    use.sent_since_report = 0;
+  }
+  if (!outcome) {
+    return;
+  }
+  if (*outcome == Outcome::kServed) {
+    this->NoteWork(lease);
+  }
+  this->NotePath(use, *outcome);
+  this->on_report({lease.server, *outcome, total});
+}
+
+void ServerDesk::Note(const ServerLease& lease, Outcome outcome) {
+  this->on_report({lease.server, outcome, -1});
+}
+
+void ServerDesk::NoteMisdirected(const ServerLease& lease) {
+  this->UseOf(lease.server).misdirected_until =
+      this->context.Now() + kMisdirectedPause;
+}
+
+void ServerDesk::Learn(const OutcomeSummary& outcomes) {
+  for (const auto& [server, summary] : outcomes) {
+    if (!this->list.roster().servers.contains(server)) {
+      continue;
+    }
+    ServerUse& use = this->UseOf(server);
+    if (summary.load >= 0 && summary.newest_at > use.reported_at) {
+      use.reported_load = static_cast<double>(summary.load);
+      use.reported_at = summary.newest_at;
+      use.sent_since_report = 0;
+    }
+    // Good outcomes first: of a mixed summary the doubt is to remain.
+    for (const auto& [outcome, count] : summary.counts) {
+      for (long i = 0; i < count; ++i) {
+        this->LearnOne(server, outcome, summary.newest_at);
+      }
+    }
+  }
+}
+
+void ServerDesk::Forget(const std::string& server) {
+  this->uses.erase(server);
+}
+
+Duration ServerDesk::UsualWork(const std::string& service) const {
+  const auto found = this->usual_work.find(service);
+  return found == this->usual_work.end() ? kUnknownWork : found->second;
+}
+
+ServerDesk::ServerUse& ServerDesk::UseOf(const std::string& server) {
+  const auto found = this->uses.find(server);
+  if (found != this->uses.end()) {
+    return found->second;
+  }
+  ServerUse use;
+  use.belief = MakeServerBelief(this->model, this->context.Now());
+  return this->uses.emplace(server, use).first->second;
+}
+
+PlacementCandidate ServerDesk::ToCandidate(const std::string& server,
+                                           const ServerWish& wish) {
+  const RosterEntry& entry = this->list.roster().servers.at(server);
+  const ServerUse& use = this->UseOf(server);
+  return {.failure_probability = this->FailureShare(use),
+          .load = this->CurrentLoad(use),
+          .slots = std::max(1L, entry.listing.slots),
+          .is_cold = this->context.Now() < entry.cold_until,
+          .is_near = entry.listing.failure_domain ==
+                     this->context.settings.failure_domain,
+          .is_permitted = this->IsPermitted(server, entry, wish)};
+}
+
+double ServerDesk::CurrentLoad(const ServerUse& use) const {
+  const double age = SecondsOf(this->context.Now() - use.reported_at);
+  return use.reported_load * std::exp(-age / kLoadFadeSeconds) +
+         static_cast<double>(std::min(use.in_flight, use.sent_since_report));
+}
+
+double ServerDesk::FailureShare(const ServerUse& use) const {
+  const TimePoint now = this->context.Now();
+  const double pooled =
+      FailureProbability(Fade(use.belief, this->model, now), this->model);
+  const double path =
+      use.path_fault *
+      std::exp(-SecondsOf(now - use.path_fault_at) / kPathFadeSeconds);
+  return 1 - (1 - pooled) * (1 - path);
+}
+
+bool ServerDesk::IsPermitted(const std::string& server,
+                             const RosterEntry& entry,
+                             const ServerWish& wish) {
+  const TimePoint now = this->context.Now();
+  if (!MayReceiveWork(this->list.roster(), entry) ||
+      wish.tried.contains(server) ||
+      now < this->UseOf(server).misdirected_until) {
+    return false;
+  }
+  return now >= entry.cold_until ||
+         MaySendToCold(this->pacer, this->ColdBoundOf(wish.service),
+                       this->context.settings.name,
+                       AllMemberNames(this->context.members), server, now);
+}
+
+ColdBound ServerDesk::ColdBoundOf(const std::string& service) const {
+  const FleetBounds& bounds = this->context.settings.bounds;
+  const ServiceTerms& terms =
+      ServiceTermsOf(this->context.routing->configuration(), service);
+  return {terms.cold_requests_per_second, bounds.cold_overshoot,
+          bounds.cold_slack};
+}
+
+void ServerDesk::LearnOne(const std::string& server,
+                          Outcome outcome,
+                          TimePoint at) {
+  ServerUse& use = this->UseOf(server);
+  const double before = use.belief.spell_probability;
+  use.belief = parsleyquay::Learn(use.belief, this->model, outcome,
+                                  std::max(at, use.belief.updated_at));
+  const double after = use.belief.spell_probability;
+  const bool is_doubtful = after >= kDoubtfulProbability;
+  if (is_doubtful != (before >= kDoubtfulProbability)) {
+    LogEvent(LogLevel::kInfo, "belief",
+             {{"server", server},
+              {"doubtful", is_doubtful ? "yes" : "no"},
+              {"spell_percent", ToPercent(after)},
+              {"before_percent", ToPercent(before)},
+              {"outcome", std::string(OutcomeName(outcome))}});
+  }
+}
+
+void ServerDesk::NotePath(ServerUse& use, Outcome outcome) {
+  use.path_fault_at = this->context.Now();
+  switch (outcome) {
+    case Outcome::kUnreachable:
+      use.path_fault = kUnreachablePathFault;
+      return;
+    case Outcome::kBroken:
+    case Outcome::kOverdue:
+      use.path_fault = std::max(use.path_fault, kBrokenPathFault);
+      return;
+    case Outcome::kServed:
+    case Outcome::kFailed:
+    case Outcome::kShed:
+      use.path_fault = 0;
+      return;
+  }
+}
+
+void ServerDesk::NoteWork(const ServerLease& lease) {
+  const Duration work = this->context.Now() - lease.taken_at;
+  const Duration usual = this->UsualWork(lease.service);
+  this->usual_work[lease.service] =
+      usual + std::chrono::duration_cast<Duration>((work - usual) *
+                                                   kWorkSmoothing);
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/gateway/server_desk.h
@@ -0,0 +1,115 @@
+#ifndef PARSLEYQUAY_GATEWAY_SERVER_DESK_H_
+#define PARSLEYQUAY_GATEWAY_SERVER_DESK_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "belief/server_belief.h"
+#include "gateway/gateway_context.h"
+#include "gateway/server_list.h"
+#include "mesh/outcome_summary.h"
+#include "placement/placement.h"
+#include "placement/start_pacer.h"
+
+namespace parsleyquay {
+
+// A place for one request at one backend server.
+struct ServerLease {
+  std::string server;
+  std::string service;
+  std::string address;
+  TimePoint taken_at;
+  double failure_probability = 0;  // as believed when it was taken
+  double load = 0;                 // as believed when it was taken
+
+  bool operator==(const ServerLease&) const = default;
+};
+
+// What a request brings to the choice of a server.
+struct ServerWish {
+  std::string service;
+  bool may_repeat = false;
+  bool is_bulk = false;
+  Duration time_left = Duration(0);
+  std::set<std::string> tried;  // servers that it was sent to before
+
+  bool operator==(const ServerWish&) const = default;
+};
+
+// Chooses a server for each request, by what all instances have seen of the
+// servers and of their load.
+class ServerDesk {
+ public:
+  using OnReport = std::function<void(const OutcomeReport&)>;
+
+  ServerDesk(GatewayContext& context,
+             const ServerList& list,
+             OnReport on_report);
+
+  // Takes a place; nothing when no server may be used or is likely to be done
+  // in time.
+  std::optional<ServerLease> Take(const ServerWish& wish);
+
+  // Gives a place back. `load` is what the server said with its answer.
+  void Release(const ServerLease& lease,
+               std::optional<Outcome> outcome,
+               std::optional<ReportedLoad> load);
+
+  // Notes an outcome of a request that still runs, such as one overdue.
+  void Note(const ServerLease& lease, Outcome outcome);
+
+  // Another server answered at the address of this one.
+  void NoteMisdirected(const ServerLease& lease);
+
+  // Takes in what other instances have seen.
+  void Learn(const OutcomeSummary& outcomes);
+
+  // Forgets what was seen in an earlier life of the server.
+  void Forget(const std::string& server);
+
+  // What a request of the service usually takes.
+  Duration UsualWork(const std::string& service) const;
+
+ private:
+  struct ServerUse {
+    ServerBelief belief;
+    // How probable it is that this instance cannot reach the server, whatever
+    // others see.
+    double path_fault = 0;
+    TimePoint path_fault_at;
+    double reported_load = 0;
+    TimePoint reported_at;
+    long in_flight = 0;
+    long sent_since_report = 0;
+    TimePoint misdirected_until;
+  };
+
+  ServerUse& UseOf(const std::string& server);
+  PlacementCandidate ToCandidate(const std::string& server,
+                                 const ServerWish& wish);
+  double CurrentLoad(const ServerUse& use) const;
+  double FailureShare(const ServerUse& use) const;
+  bool IsPermitted(const std::string& server,
+                   const RosterEntry& entry,
+                   const ServerWish& wish);
+  void LearnOne(const std::string& server, Outcome outcome, TimePoint at);
+  void NotePath(ServerUse& use, Outcome outcome);
+  ColdBound ColdBoundOf(const std::string& service) const;
+  void NoteWork(const ServerLease& lease);
+
+  GatewayContext& context;
+  const ServerList& list;
+  OnReport on_report;
+  SpellModel model;
+  StartPacer pacer;
+  std::map<std::string, ServerUse> uses;
+  std::map<std::string, Duration> usual_work;  // by service
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_SERVER_DESK_H_
--- a/libraries/http/header_list.cc
+++ b/libraries/http/header_list.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <iterator>
 
 namespace parsleyquay {
 
@@ -14,6 +16,24 @@
     "Proxy-Authorization", "TE",         "Trailer",
     "Transfer-Encoding",   "Upgrade",    "Proxy-Connection"};
 
+constexpr std::string_view kBearer = "Bearer ";
+
+// Whether a comma-separated list of header names holds `name`.
+bool IsNamedInList(std::string_view list, std::string_view name) {
+  constexpr std::string_view kBlanks = " \t";
+  while (!list.empty()) {
+    const auto comma = list.find(',');
+    std::string_view item = list.substr(0, comma);
+    item.remove_prefix(std::min(item.find_first_not_of(kBlanks), item.size()));
+    item = item.substr(0, item.find_last_not_of(kBlanks) + 1);
+    if (IsSameHeaderName(item, name)) {
+      return true;
+    }
+    list = comma == std::string_view::npos ? "" : list.substr(comma + 1);
+  }
+  return false;
+}
+
 }  // namespace
 
 bool IsSameHeaderName(std::string_view left, std::string_view right) {
@@ -40,4 +60,38 @@
   });
 }
 
+HeaderList EndToEndHeaders(const HeaderList& headers) {
+  const std::string connection = HeaderText(headers, "Connection");
+  HeaderList kept;
+  std::ranges::copy_if(
+      headers, std::back_inserter(kept), [&](const Header& header) {
+        return !IsHopByHopHeader(header.name) &&
+               !IsNamedInList(connection, header.name);
+      });
+  return kept;
+}
+
+std::optional<std::uint64_t> ReadUnsigned(const HeaderList& headers,
+                                          std::string_view name) {
+  const std::string* text = FindHeader(headers, name);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const auto parsed =
+      std::from_chars(text->data(), text->data() + text->size(), number);
+  const bool is_number =
+      parsed.ec == std::errc() && parsed.ptr == text->data() + text->size();
+  return is_number ? std::optional(number) : std::nullopt;
+}
+
+std::string BearerKey(const HeaderList& headers) {
+  const std::string* value = FindHeader(headers, "Authorization");
+  const bool is_bearer =
+      value && value->size() > kBearer.size() &&
+      IsSameHeaderName(std::string_view(*value).substr(0, kBearer.size()),
+                       kBearer);
+  return is_bearer ? value->substr(kBearer.size()) : "";
+}
+
 }  // namespace parsleyquay
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -72,7 +72,11 @@
                                  : header.name + ": " + header.value;
     this->header_lines = curl_slist_append(this->header_lines, line.c_str());
   }
+  // Headers that libcurl would add by itself.
   this->header_lines = curl_slist_append(this->header_lines, "Expect:");
+  if (!FindHeader(this->request.headers, "Accept")) {
+    this->header_lines = curl_slist_append(this->header_lines, "Accept:");
+  }
   curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, this->header_lines);
 }
 
--- a/libraries/logging/event_log.h
+++ b/libraries/logging/event_log.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_LOGGING_EVENT_LOG_H_
 #define PARSLEYQUAY_LOGGING_EVENT_LOG_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,8 +18,20 @@
 
 enum class LogLevel { kInfo, kWarning, kError };
 
-// Sends every event of this process to standard error, tagged with `origin`.
-void StartEventLog(std::string_view origin);
+enum class LogTarget {
+  kStandardError,   // each line at once
+  kStandardOutput,  // held and written by FlushEventLog(), never blocking
+};
+
+// Sends every event of this process to `target`, tagged with `origin`.
+void StartEventLog(std::string_view origin,
+                   LogTarget target = LogTarget::kStandardError);
+
+// Writes what is held for standard output, as far as its reader takes it.
+void FlushEventLog();
+
+// Lines that were dropped since their reader did not take them.
+std::uint64_t DroppedLogLines();
 
 // Writes one line: time, level, origin, event and the fields, each as
 // key=value; a value with blanks or quotes is quoted.
--- /dev/null
+++ b/libraries/logging/line_buffer.cc
@@ -0,0 +1,62 @@
+#include "logging/line_buffer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace parsleyquay {
+
+namespace {
+
+// A pipe that is ready for writing takes at least this much without blocking
+// (PIPE_BUF), whatever the mode of its descriptor.
+constexpr std::size_t kWriteBytes = 4096;
+
+bool IsReadyForWriting(int descriptor) {
+  pollfd state = {descriptor, POLLOUT, 0};
+  return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
+}  // namespace
+
+LineBuffer::LineBuffer(int descriptor, std::size_t most_bytes)
+    : descriptor(descriptor), most_bytes(most_bytes) {}
+
+void LineBuffer::Append(std::string_view line) {
+  if (this->pending.size() + line.size() + 1 > this->most_bytes) {
+    ++this->dropped;
+    return;
+  }
+  this->pending += line;
+  this->pending += '\n';
+}
+
+void LineBuffer::Flush() {
+  this->WriteOut();
+  if (this->dropped > this->reported_dropped && this->pending.empty()) {
+    this->Append("level=warning event=log_lines_dropped lines=" +
+                 std::to_string(this->dropped - this->reported_dropped) +
+                 " total=" + std::to_string(this->dropped));
+    this->reported_dropped = this->dropped;
+    this->WriteOut();
+  }
+}
+
+void LineBuffer::WriteOut() {
+  std::size_t written = 0;
+  while (written < this->pending.size() &&
+         IsReadyForWriting(this->descriptor)) {
+    const std::size_t size =
+        std::min(kWriteBytes, this->pending.size() - written);
+    const ssize_t taken =
+        write(this->descriptor, this->pending.data() + written, size);
+    if (taken <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(taken);
+  }
+  this->pending.erase(0, written);
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/mesh/digest.cc
@@ -0,0 +1,205 @@
+#include "mesh/digest.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace parsleyquay {
+
+namespace {
+
+constexpr int kReadyFlag = 1;
+constexpr int kLeavingFlag = 2;
+constexpr int kOutcomeCount = 6;
+
+// Fields of the arrays, in their order.
+enum MemberField { kName, kDomain, kRequests, kPeers, kIncarnation, kFlags,
+                   kDuties, kAge, kMemberFields };
+enum ServerField { kServer, kService, kAddress, kServerDomain, kSlots,
+                   kDraining, kCold, kServerIncarnation, kSequence,
+                   kServerFields };
+
+Json::Value EncodeStatus(const MemberStatus& status) {
+  Json::Value row(Json::arrayValue);
+  row.append(status.record.name);
+  row.append(status.record.failure_domain);
+  row.append(status.record.request_address);
+  row.append(status.record.peer_address);
+  row.append(status.record.incarnation);
+  row.append((status.is_ready ? kReadyFlag : 0) |
+             (status.is_leaving ? kLeavingFlag : 0));
+  Json::Value duties(Json::arrayValue);
+  for (const long duty : status.duties) {
+    duties.append(Json::Int64(duty));
+  }
+  row.append(std::move(duties));
+  return row;
+}
+
+MemberStatus DecodeStatus(const Json::Value& row) {
+  const int flags = row[kFlags].asInt();
+  MemberStatus status{
+      .record = {.name = row[kName].asString(),
+                 .failure_domain = row[kDomain].asString(),
+                 .request_address = row[kRequests].asString(),
+                 .peer_address = row[kPeers].asString(),
+                 .incarnation = row[kIncarnation].asString()},
+      .is_ready = (flags & kReadyFlag) != 0,
+      .is_leaving = (flags & kLeavingFlag) != 0};
+  std::ranges::transform(row[kDuties], std::back_inserter(status.duties),
+                         [](const Json::Value& duty) {
+                           return static_cast<long>(duty.asInt64());
+                         });
+  return status;
+}
+
+Json::Value EncodeServerChange(const ServerChange& change) {
+  Json::Value row(Json::arrayValue);
+  row.append(change.server);
+  if (!change.listing) {
+    return row;
+  }
+  const ServerListing& listing = *change.listing;
+  row.append(listing.service);
+  row.append(listing.address);
+  row.append(listing.failure_domain);
+  row.append(Json::Int64(listing.slots));
+  row.append(listing.is_draining);
+  row.append(Json::Int64(ToMilliseconds(listing.cold_remaining)));
+  row.append(Json::UInt64(listing.incarnation));
+  row.append(Json::UInt64(listing.sequence));
+  return row;
+}
+
+ServerChange DecodeServerChange(const Json::Value& row) {
+  ServerChange change{row[kServer].asString(), std::nullopt};
+  if (row.size() == kServerFields) {
+    change.listing = ServerListing{
+        .service = row[kService].asString(),
+        .address = row[kAddress].asString(),
+        .failure_domain = row[kServerDomain].asString(),
+        .slots = static_cast<long>(row[kSlots].asInt64()),
+        .is_draining = row[kDraining].asBool(),
+        .cold_remaining = milliseconds(row[kCold].asInt64()),
+        .incarnation = row[kServerIncarnation].asUInt64(),
+        .sequence = row[kSequence].asUInt64()};
+  }
+  return change;
+}
+
+// A row holds the name, the age, the load, then a count for each outcome.
+Json::Value EncodeSummary(const std::string& name,
+                          const ServerSummary& server,
+                          TimePoint now) {
+  Json::Value row(Json::arrayValue);
+  row.append(name);
+  row.append(Json::Int64(ToMilliseconds(now - server.newest_at)));
+  row.append(Json::Int64(server.load));
+  for (int outcome = 0; outcome < kOutcomeCount; ++outcome) {
+    const auto count = server.counts.find(static_cast<Outcome>(outcome));
+    row.append(
+        Json::Int64(count == server.counts.end() ? 0 : count->second));
+  }
+  return row;
+}
+
+void DecodeSummary(const Json::Value& row,
+                   OutcomeSummary& outcomes,
+                   TimePoint now) {
+  constexpr int kAgeField = 1;
+  constexpr int kLoadField = 2;
+  constexpr int kFirstCount = 3;
+  ServerSummary server;
+  server.newest_at = now - milliseconds(row[kAgeField].asInt64());
+  server.load = static_cast<long>(row[kLoadField].asInt64());
+  for (int outcome = 0; outcome < kOutcomeCount; ++outcome) {
+    const auto count =
+        static_cast<long>(row[kFirstCount + outcome].asInt64());
+    if (count > 0) {
+      server.counts[static_cast<Outcome>(outcome)] = count;
+    }
+  }
+  outcomes[row[0].asString()] = std::move(server);
+}
+
+}  // namespace
+
+Json::Value EncodeHeartbeat(const Heartbeat& heartbeat) {
+  Json::Value parameters;
+  parameters["m"] = EncodeStatus(heartbeat.status);
+  return parameters;
+}
+
+std::optional<Heartbeat> DecodeHeartbeat(const Json::Value& parameters) {
+  const Json::Value& row = parameters["m"];
+  if (!row.isArray() || row.size() < kAge) {
+    return std::nullopt;
+  }
+  return Heartbeat{DecodeStatus(row)};
+}
+
+Json::Value EncodeDigest(const Digest& digest, TimePoint now) {
+  Json::Value parameters;
+  parameters["f"] = digest.sender;
+  parameters["v"] = Json::UInt64(digest.configuration_version);
+  parameters["p"] = Json::UInt64(digest.operator_position);
+  parameters["a"] = Json::UInt64(digest.servers_from);
+  parameters["z"] = Json::UInt64(digest.servers_to);
+  for (const ServerChange& change : digest.server_changes) {
+    parameters["s"].append(EncodeServerChange(change));
+  }
+  for (const DigestMember& member : digest.members) {
+    Json::Value row = EncodeStatus(member.status);
+    row.append(Json::Int64(ToMilliseconds(member.age)));
+    parameters["m"].append(std::move(row));
+  }
+  for (const auto& [name, server] : digest.outcomes) {
+    parameters["o"].append(EncodeSummary(name, server, now));
+  }
+  return parameters;
+}
+
+std::optional<Digest> DecodeDigest(const Json::Value& parameters,
+                                   TimePoint now) {
+  if (!parameters["f"].isString()) {
+    return std::nullopt;
+  }
+  Digest digest{.sender = parameters["f"].asString(),
+                .configuration_version = parameters["v"].asUInt64(),
+                .operator_position = parameters["p"].asUInt64(),
+                .servers_from = parameters["a"].asUInt64(),
+                .servers_to = parameters["z"].asUInt64()};
+  std::ranges::transform(parameters["s"],
+                         std::back_inserter(digest.server_changes),
+                         &DecodeServerChange);
+  for (const Json::Value& row : parameters["m"]) {
+    if (row.size() < kMemberFields) {
+      return std::nullopt;
+    }
+    digest.members.push_back(
+        {DecodeStatus(row), milliseconds(row[kAge].asInt64())});
+  }
+  for (const Json::Value& row : parameters["o"]) {
+    DecodeSummary(row, digest.outcomes, now);
+  }
+  return digest;
+}
+
+Json::Value EncodeOutcome(const OutcomeReport& report) {
+  Json::Value parameters;
+  parameters["s"] = report.server;
+  parameters["o"] = static_cast<int>(report.outcome);
+  parameters["l"] = Json::Int64(report.load);
+  return parameters;
+}
+
+std::optional<OutcomeReport> DecodeOutcome(const Json::Value& parameters) {
+  const int outcome = parameters["o"].asInt();
+  if (!parameters["s"].isString() || outcome < 0 || outcome >= kOutcomeCount) {
+    return std::nullopt;
+  }
+  return OutcomeReport{parameters["s"].asString(),
+                       static_cast<Outcome>(outcome),
+                       static_cast<long>(parameters["l"].asInt64())};
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/mesh/digest.h
@@ -0,0 +1,60 @@
+#ifndef PARSLEYQUAY_MESH_DIGEST_H_
+#define PARSLEYQUAY_MESH_DIGEST_H_
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/coordination_port.h"
+#include "mesh/member_table.h"
+#include "mesh/outcome_summary.h"
+
+namespace parsleyquay {
+
+// A heartbeat of one member to the aggregators of its failure domain.
+struct Heartbeat {
+  MemberStatus status;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+// A member as a digest names it.
+struct DigestMember {
+  MemberStatus status;
+  Duration age = Duration(0);  // since it was last heard
+
+  bool operator==(const DigestMember&) const = default;
+};
+
+// What an aggregator passes on to the members of its failure domain and to
+// the aggregators of the others.
+struct Digest {
+  std::string sender;
+  std::uint64_t configuration_version = 0;
+  std::uint64_t operator_position = 0;  // of the operators' feed
+  // The part of the servers' feed that `server_changes` covers.
+  std::uint64_t servers_from = 0;
+  std::uint64_t servers_to = 0;
+  std::vector<ServerChange> server_changes;
+  std::vector<DigestMember> members;  // empty: nothing said of them
+  OutcomeSummary outcomes;
+
+  bool operator==(const Digest&) const = default;
+};
+
+// The parameters of a notification, as short arrays; times as milliseconds
+// before the moment of sending.
+Json::Value EncodeHeartbeat(const Heartbeat& heartbeat);
+std::optional<Heartbeat> DecodeHeartbeat(const Json::Value& parameters);
+Json::Value EncodeDigest(const Digest& digest, TimePoint now);
+std::optional<Digest> DecodeDigest(const Json::Value& parameters,
+                                   TimePoint now);
+Json::Value EncodeOutcome(const OutcomeReport& report);
+std::optional<OutcomeReport> DecodeOutcome(const Json::Value& parameters);
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_MESH_DIGEST_H_
--- /dev/null
+++ b/libraries/mesh/member_table.cc
@@ -0,0 +1,96 @@
+#include "mesh/member_table.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+#include "base/rendezvous.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// A suspected aggregator is passed over at least that long; its heartbeats may
+// still be on their way.
+constexpr Duration kSuspicion = seconds(3);
+
+}  // namespace
+
+void NoteStatus(MemberTable& table,
+                const MemberStatus& status,
+                Duration age,
+                TimePoint now) {
+  MemberEntry& entry = table.members[status.record.name];
+  const TimePoint heard_at = now - age;
+  if (heard_at < entry.heard_at) {
+    return;
+  }
+  const bool is_new_life =
+      entry.status.record.incarnation != status.record.incarnation;
+  if (is_new_life) {
+    entry.suspected_until = TimePoint();
+  }
+  entry.status = status;
+  entry.heard_at = heard_at;
+}
+
+void NoteRecord(MemberTable& table, const MemberRecord& record, TimePoint now) {
+  const auto found = table.members.find(record.name);
+  if (found != table.members.end() && found->second.status.record == record) {
+    return;
+  }
+  table.members[record.name] = {.status = {.record = record, .is_ready = true},
+                                .heard_at = now};
+}
+
+void RemoveMember(MemberTable& table, const std::string& name) {
+  table.members.erase(name);
+}
+
+void SuspectMember(MemberTable& table, const std::string& name, TimePoint now) {
+  const auto found = table.members.find(name);
+  if (found != table.members.end()) {
+    found->second.suspected_until = now + kSuspicion;
+  }
+}
+
+bool IsAlive(const MemberEntry& entry, TimePoint now) {
+  return now - entry.heard_at < kSilenceLimit;
+}
+
+std::vector<std::string> RankAggregators(const MemberTable& table,
+                                         const std::string& failure_domain,
+                                         TimePoint now) {
+  std::vector<std::string> names;
+  for (const auto& [name, entry] : table.members) {
+    const bool is_candidate =
+        entry.status.record.failure_domain == failure_domain &&
+        IsAlive(entry, now) && !entry.status.is_leaving &&
+        entry.suspected_until <= now;
+    if (is_candidate) {
+      names.push_back(name);
+    }
+  }
+  return RankByRendezvous("aggregator", std::move(names));
+}
+
+std::vector<std::string> AllMemberNames(const MemberTable& table) {
+  std::vector<std::string> names;
+  std::ranges::copy(table.members | std::views::keys,
+                    std::back_inserter(names));
+  return names;
+}
+
+std::size_t RankOfMember(const MemberTable& table, const std::string& name) {
+  return static_cast<std::size_t>(
+      std::distance(table.members.begin(), table.members.lower_bound(name)));
+}
+
+std::size_t CountAlive(const MemberTable& table, TimePoint now) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(table.members, [&](const auto& item) {
+        return IsAlive(item.second, now);
+      }));
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/mesh/outcome_summary.cc
@@ -0,0 +1,43 @@
+#include "mesh/outcome_summary.h"
+
+#include <algorithm>
+
+namespace parsleyquay {
+
+void AddOutcome(OutcomeSummary& summary,
+                const OutcomeReport& report,
+                TimePoint now) {
+  ServerSummary& server = summary[report.server];
+  ++server.counts[report.outcome];
+  if (report.load >= 0) {
+    server.load = report.load;
+  }
+  server.newest_at = now;
+}
+
+void AddSummary(OutcomeSummary& summary, const OutcomeSummary& other) {
+  for (const auto& [name, added] : other) {
+    ServerSummary& server = summary[name];
+    for (const auto& [outcome, count] : added.counts) {
+      server.counts[outcome] += count;
+    }
+    if (added.load >= 0 && added.newest_at >= server.newest_at) {
+      server.load = added.load;
+    }
+    server.newest_at = std::max(server.newest_at, added.newest_at);
+  }
+}
+
+bool IsUrgent(Outcome outcome) {
+  return outcome != Outcome::kServed && outcome != Outcome::kShed;
+}
+
+bool HasUrgent(const OutcomeSummary& summary) {
+  return std::ranges::any_of(summary, [](const auto& item) {
+    return std::ranges::any_of(item.second.counts, [](const auto& count) {
+      return IsUrgent(count.first);
+    });
+  });
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/mesh/outcome_summary.h
@@ -0,0 +1,46 @@
+#ifndef PARSLEYQUAY_MESH_OUTCOME_SUMMARY_H_
+#define PARSLEYQUAY_MESH_OUTCOME_SUMMARY_H_
+
+#include <map>
+#include <string>
+
+#include "base/clock.h"
+#include "belief/server_belief.h"
+
+namespace parsleyquay {
+
+// What one request showed of a server.
+struct OutcomeReport {
+  std::string server;
+  Outcome outcome = Outcome::kServed;
+  long load = -1;  // requests that the server said it holds; -1: it did not
+
+  bool operator==(const OutcomeReport&) const = default;
+};
+
+// What several requests showed of one server since the last digest.
+struct ServerSummary {
+  std::map<Outcome, long> counts;
+  long load = -1;
+  TimePoint newest_at;
+
+  bool operator==(const ServerSummary&) const = default;
+};
+
+using OutcomeSummary = std::map<std::string, ServerSummary>;
+
+void AddOutcome(OutcomeSummary& summary,
+                const OutcomeReport& report,
+                TimePoint now);
+
+void AddSummary(OutcomeSummary& summary, const OutcomeSummary& other);
+
+// Whether the outcome may change where others send their requests, so that it
+// is passed on at once.
+bool IsUrgent(Outcome outcome);
+
+bool HasUrgent(const OutcomeSummary& summary);
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_MESH_OUTCOME_SUMMARY_H_
--- a/libraries/peer/peer_link.cc
+++ b/libraries/peer/peer_link.cc
@@ -84,6 +84,26 @@
 void PeerLink::Send(const std::string& address,
                     const std::string& method,
                     const Json::Value& parameters) {
+  this->SendDatagram(address, this->MakeDatagram(method, parameters));
+}
+
+void PeerLink::SendToAll(const std::vector<std::string>& addresses,
+                         const std::string& method,
+                         const Json::Value& parameters) {
+  const std::string datagram = this->MakeDatagram(method, parameters);
+  for (const std::string& address : addresses) {
+    this->SendDatagram(address, datagram);
+  }
+}
+
+std::string PeerLink::MakeDatagram(const std::string& method,
+                                   const Json::Value& parameters) const {
+  const std::string text = this->codec.Encode(method, parameters);
+  return MakeTag(this->authentication_key, text) + text;
+}
+
+void PeerLink::SendDatagram(const std::string& address,
+                            const std::string& datagram) {
   if (!this->parsed_addresses.contains(address)) {
     const Result<sockaddr_in> parsed = ParseSocketAddress(address);
     if (!parsed) {
@@ -91,8 +111,6 @@
     }
     this->parsed_addresses[address] = *parsed;
   }
-  const std::string text = this->codec.Encode(method, parameters);
-  const std::string datagram = MakeTag(this->authentication_key, text) + text;
   const sockaddr_in& target = this->parsed_addresses[address];
   sendto(this->descriptor, datagram.data(), datagram.size(), MSG_DONTWAIT,
          reinterpret_cast<const sockaddr*>(&target), sizeof(target));
--- a/libraries/peer/peer_link.h
+++ b/libraries/peer/peer_link.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 #include "event/io_watcher.h"
@@ -44,6 +45,11 @@
             const std::string& method,
             const Json::Value& parameters);
 
+  // Sends one message to several instances; it is encoded once.
+  void SendToAll(const std::vector<std::string>& addresses,
+                 const std::string& method,
+                 const Json::Value& parameters);
+
   const PeerTraffic& traffic() const { return this->counters; }
 
  private:
@@ -54,6 +60,9 @@
   Result<void> Open(const std::string& address);
   void Receive();
   bool Accept(const std::string& datagram);
+  std::string MakeDatagram(const std::string& method,
+                           const Json::Value& parameters) const;
+  void SendDatagram(const std::string& address, const std::string& datagram);
 
   std::string authentication_key;
   RpcCodec codec;
--- /dev/null
+++ b/libraries/roster/server_roster.cc
@@ -0,0 +1,146 @@
+#include "roster/server_roster.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace parsleyquay {
+
+namespace {
+
+// Listings are read some time after they are written.
+constexpr Duration kColdTolerance = milliseconds(900);
+
+using Age = std::pair<std::uint64_t, std::uint64_t>;
+
+Age AgeOf(const ServerListing& listing) {
+  return {listing.incarnation, listing.sequence};
+}
+
+RosterEvent Remove(ServerRoster& roster,
+                   const std::string& server,
+                   TimePoint now) {
+  const auto found = roster.servers.find(server);
+  if (found == roster.servers.end()) {
+    return RosterEvent::kNone;
+  }
+  RosterEntry& entry = found->second;
+  if (now < roster.lapses_until && !entry.listing.is_draining) {
+    const bool is_new = !entry.gone_at;
+    entry.gone_at = roster.lapses_until;
+    return is_new ? RosterEvent::kLapsed : RosterEvent::kNone;
+  }
+  roster.departed[server] = AgeOf(entry.listing);
+  roster.servers.erase(found);
+  return RosterEvent::kRemoved;
+}
+
+RosterEvent CompareLives(const RosterEntry& known, const RosterEntry& entry) {
+  if (known.listing.incarnation != entry.listing.incarnation ||
+      known.listing.address != entry.listing.address) {
+    return RosterEvent::kRestarted;
+  }
+  if (entry.listing.is_draining && !known.listing.is_draining) {
+    return RosterEvent::kDraining;
+  }
+  const bool is_colder = entry.listing.cold_remaining > Duration(0) &&
+                         entry.cold_until > known.cold_until + kColdTolerance;
+  return is_colder ? RosterEvent::kCooled : RosterEvent::kNone;
+}
+
+}  // namespace
+
+RosterEvent ApplyServerChange(ServerRoster& roster,
+                              const ServerChange& change,
+                              TimePoint now) {
+  if (!change.listing) {
+    return Remove(roster, change.server, now);
+  }
+  const Age age = AgeOf(*change.listing);
+  const auto departed = roster.departed.find(change.server);
+  if (departed != roster.departed.end() && age <= departed->second) {
+    return RosterEvent::kOvertaken;
+  }
+  RosterEntry entry{.listing = *change.listing,
+                    .cold_until = now + change.listing->cold_remaining,
+                    .listed_at = now};
+  const auto found = roster.servers.find(change.server);
+  if (found == roster.servers.end()) {
+    roster.servers.emplace(change.server, std::move(entry));
+    return RosterEvent::kAdded;
+  }
+  const Age known_age = AgeOf(found->second.listing);
+  if (age < known_age) {
+    return RosterEvent::kOvertaken;
+  }
+  // A listing that is read again says nothing new of how cold the server is.
+  if (age == known_age && found->second.listing == entry.listing) {
+    found->second.gone_at.reset();
+    return RosterEvent::kNone;
+  }
+  const RosterEvent event = CompareLives(found->second, entry);
+  if (event != RosterEvent::kRestarted) {
+    entry.listed_at = found->second.listed_at;
+  }
+  found->second = std::move(entry);
+  return event;
+}
+
+std::vector<ServerChange> ChangesToWholeList(const ServerRoster& roster,
+                                             std::vector<ServerChange> list) {
+  std::set<std::string> named;
+  std::ranges::transform(list, std::inserter(named, named.end()),
+                         &ServerChange::server);
+  for (const auto& [server, entry] : roster.servers) {
+    if (!named.contains(server)) {
+      list.push_back({server, std::nullopt});
+    }
+  }
+  return list;
+}
+
+void NoteListRegained(ServerRoster& roster, TimePoint now) {
+  roster.lapses_until = now + kLapseGrace;
+}
+
+std::vector<std::string> RemoveLapsed(ServerRoster& roster, TimePoint now) {
+  std::vector<std::string> removed;
+  for (const auto& [server, entry] : roster.servers) {
+    if (entry.gone_at && *entry.gone_at <= now) {
+      removed.push_back(server);
+    }
+  }
+  for (const std::string& server : removed) {
+    roster.departed[server] = AgeOf(roster.servers.at(server).listing);
+    roster.servers.erase(server);
+  }
+  return removed;
+}
+
+bool MayReceiveWork(const ServerRoster& roster, const RosterEntry& entry) {
+  return !entry.listing.is_draining &&
+         !roster.withdrawn_domains.contains(entry.listing.failure_domain);
+}
+
+std::string_view RosterEventName(RosterEvent event) {
+  switch (event) {
+    case RosterEvent::kNone:
+      return "none";
+    case RosterEvent::kAdded:
+      return "added";
+    case RosterEvent::kRestarted:
+      return "restarted";
+    case RosterEvent::kDraining:
+      return "draining";
+    case RosterEvent::kCooled:
+      return "cooled";
+    case RosterEvent::kRemoved:
+      return "removed";
+    case RosterEvent::kLapsed:
+      return "lapsed";
+    case RosterEvent::kOvertaken:
+      return "overtaken";
+  }
+  return "unknown";
+}
+
+}  // namespace parsleyquay
--- a/meta/libraries.cmake
+++ b/meta/libraries.cmake
@@ -21,4 +21,12 @@
   burn
   entry
   operations
+  routing
+  coordination
+  roster
+  belief
+  placement
+  allowance
+  mesh
+  gateway
 )
