--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -28,10 +28,14 @@
 constexpr Duration kSecretRetry = milliseconds(700);
 constexpr std::size_t kSecretBytes = 32;
 
-// Members are heard of by heartbeats; their records are read only in case that
+// At start all instances write their records at about the same time. Later,
+// members are heard of by heartbeats; their records are read only in case that
 // a whole failure domain has been out of hearing.
-constexpr FollowPlan kMemberPlan = {.interval = seconds(30),
+constexpr FollowPlan kMemberPlanAtStart = {.interval = milliseconds(1'200),
+                                           .timeout = milliseconds(700)};
+constexpr FollowPlan kMemberPlan = {.interval = seconds(60),
                                     .timeout = milliseconds(700)};
+constexpr Duration kStartTime = seconds(4);
 
 std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
   methods.insert(methods.end(), {kHeartbeat, kOutcome, kDigest});
@@ -49,7 +53,7 @@
       follower(context.loop,
                "members",
                context.port.members,
-               kMemberPlan,
+               kMemberPlanAtStart,
                {.on_changes =
                     [this](const std::vector<MemberChange>& changes,
                            ChangeSet) { this->OnMemberChanges(changes); }}),
@@ -58,6 +62,7 @@
       retry_timer(context.loop, [this] { this->AgreeOnSecret(); }) {}
 
 void MeshAgent::Start() {
+  this->started_at = this->context.Now();
   this->follower.Start();
   this->AgreeOnSecret();
   this->tick_timer.StartRepeating(kTick);
@@ -251,6 +256,9 @@
 void MeshAgent::OnTick() {
   const TimePoint now = this->context.Now();
   NoteStatus(this->context.members, this->OwnStatus(), Duration(0), now);
+  if (now - this->started_at > kStartTime) {
+    this->follower.SetPlan(kMemberPlan);
+  }
   const bool is_first_silent =
       !this->aggregators.empty() &&
       this->aggregators.front() != this->context.settings.name &&
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -91,6 +91,7 @@
   Timer tick_timer;
   Timer urgent_timer;
   Timer retry_timer;
+  TimePoint started_at;
   MeshRole current_role;
   std::vector<std::string> aggregators;  // of the own failure domain, in order
   TimePoint first_since;                 // when the first of them became so
