placement: Try servers that have gone unused, more while much goes unserved

Ruled out: a share of servers in use seen by one instance (which servers are sound is not known here: 3 of 7 sound ones were left out while 80 % of all were in use).

--- a/libraries/belief/server_belief.h
+++ b/libraries/belief/server_belief.h
@@ -24,7 +24,9 @@
   double usual_failure_share = 0.012;  // the sites' error share
   double spell_failure_share = 0.75;   // the sites' share within a spell
   double spell_share = 0.3;            // of the time, by the sites
-  Duration mean_cycle = seconds(9);    // from one spell to the next
+  // From one spell to the next; in the logs of calm days spells last about nine
+  // seconds.
+  Duration mean_cycle = seconds(30);
 
   bool operator==(const SpellModel&) const = default;
 };
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -48,6 +48,9 @@
               this->list,
               [this](const OutcomeReport& report) {
                 this->mesh.Report(report);
+              },
+              [this](const std::string& service) {
+                this->mesh.ReportUnserved(service);
               }),
       allowances(this->context),
       configuration(
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -14,6 +14,7 @@
 
 constexpr char kHeartbeat[] = "heartbeat";
 constexpr char kOutcome[] = "outcome";
+constexpr char kUnserved[] = "unserved";
 constexpr char kDigest[] = "digest";
 
 // Good outcomes are shared within 250 ms, failures at once.
@@ -38,7 +39,7 @@
 constexpr Duration kStartTime = seconds(4);
 
 std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
-  methods.insert(methods.end(), {kHeartbeat, kOutcome, kDigest});
+  methods.insert(methods.end(), {kHeartbeat, kOutcome, kUnserved, kDigest});
   return methods;
 }
 
@@ -81,8 +82,7 @@
 }
 
 void MeshAgent::Report(const OutcomeReport& report) {
-  const bool has_aggregator = this->context.peers && !this->aggregators.empty();
-  if (this->current_role.is_aggregator || !has_aggregator) {
+  if (this->collects_itself()) {
     this->CollectOutcome(report);
     return;
   }
@@ -97,6 +97,29 @@
   }
 }
 
+void MeshAgent::ReportUnserved(const std::string& service) {
+  if (this->collects_itself()) {
+    this->CollectUnserved(service);
+    return;
+  }
+  Json::Value parameters;
+  parameters["s"] = service;
+  this->context.peers->Send(this->AddressOf(this->aggregators.front()),
+                            kUnserved, parameters);
+}
+
+bool MeshAgent::collects_itself() const {
+  return this->current_role.is_aggregator || !this->context.peers ||
+         this->aggregators.empty();
+}
+
+void MeshAgent::CollectUnserved(const std::string& service) {
+  OutcomeSummary seen;
+  seen.unserved_by_service[service] = 1;
+  this->handlers.on_outcomes(seen);
+  AddSummary(this->own_domain_outcomes, seen);
+}
+
 void MeshAgent::AgreeOnSecret() {
   this->context.port.agree_on_secret(
       RandomHex(kSecretBytes), [this](std::optional<std::string> secret) {
@@ -162,6 +185,8 @@
     this->OnHeartbeat(parameters);
   } else if (method == kOutcome) {
     this->OnOutcome(parameters);
+  } else if (method == kUnserved) {
+    this->CollectUnserved(parameters["s"].asString());
   } else if (method == kDigest) {
     this->OnDigest(parameters);
   } else {
@@ -273,8 +298,8 @@
     return;
   }
   if (this->current_role.is_aggregator) {
-    const bool has_news = !this->own_domain_outcomes.empty() ||
-                          !this->other_domain_outcomes.empty();
+    const bool has_news = !this->own_domain_outcomes.is_empty() ||
+                          !this->other_domain_outcomes.is_empty();
     if (has_news || now - this->digest_sent_at >= kLongestDigestGap) {
       this->SendDigest();
     }
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -59,6 +59,9 @@
   // Spreads what a request has shown of a server.
   void Report(const OutcomeReport& report);
 
+  // Spreads that a request for the service ended without a success.
+  void ReportUnserved(const std::string& service);
+
   const MeshRole& role() const { return this->current_role; }
 
  private:
@@ -73,6 +76,8 @@
   void OnTick();
   void UpdateRole();
   void CollectOutcome(const OutcomeReport& report);
+  void CollectUnserved(const std::string& service);
+  bool collects_itself() const;
   void ScheduleUrgentDigest();
   void SendHeartbeat();
   void SendDigest();
--- a/libraries/gateway/request_flow.cc
+++ b/libraries/gateway/request_flow.cc
@@ -279,6 +279,10 @@
             {"time_left_ms", std::to_string(ToMilliseconds(this->time_left()))},
             {"version",
              std::to_string(this->context.configuration_version())}});
+  const bool is_owed = !this->service.empty() && outcome != "caller_gone";
+  if (is_owed && outcome != "served") {
+    this->parts.servers.NoteUnserved(this->service);
+  }
   Count(this->context.metrics,
         "requests{outcome=\"" + std::string(outcome) + "\"}");
   Observe(this->context.metrics.histograms["request"], elapsed);
--- a/libraries/gateway/server_desk.cc
+++ b/libraries/gateway/server_desk.cc
@@ -39,8 +39,12 @@
 
 ServerDesk::ServerDesk(GatewayContext& context,
                        const ServerList& list,
-                       OnReport on_report)
-    : context(context), list(list), on_report(std::move(on_report)) {}
+                       OnReport on_report,
+                       OnUnserved on_unserved)
+    : context(context),
+      list(list),
+      on_report(std::move(on_report)),
+      on_unserved(std::move(on_unserved)) {}
 
 std::optional<ServerLease> ServerDesk::Take(const ServerWish& wish) {
   const std::vector<std::string>& names = this->list.NamesOf(wish.service);
@@ -53,7 +57,7 @@
                            .is_bulk = wish.is_bulk,
                            .usual_work = this->UsualWork(wish.service),
                            .time_left = wish.time_left};
-  const auto drawn = DrawServer(candidates, need, this->context.random());
+  const auto drawn = this->Choose(candidates, need, wish.service);
   if (!drawn) {
     return std::nullopt;
   }
@@ -66,6 +70,7 @@
   ServerUse& use = this->UseOf(server);
   ++use.in_flight;
   ++use.sent_since_report;
+  use.used_at = now;
   return ServerLease{
       .server = server,
       .service = wish.service,
@@ -75,6 +80,30 @@
       .load = candidates[*drawn].load};
 }
 
+std::optional<std::size_t> ServerDesk::Choose(
+    const std::vector<PlacementCandidate>& candidates,
+    const PlacementNeed& need,
+    const std::string& service) {
+  const auto trial = DrawTrial(candidates, need, this->TrafficOf(service),
+                               this->context.random());
+  return DrawServer(trial ? *trial : candidates, need, this->context.random());
+}
+
+ServiceTraffic ServerDesk::TrafficOf(const std::string& service) const {
+  const auto rate_of = [&](const std::map<std::string, RateMeter>& rates) {
+    const auto found = rates.find(service);
+    return found == rates.end() ? 0 : RateAt(found->second, this->context.Now());
+  };
+  std::set<std::string> domains;
+  for (const auto& [name, entry] : this->context.members.members) {
+    domains.insert(entry.status.record.failure_domain);
+  }
+  return {.served_per_second = rate_of(this->served_rates),
+          .unserved_per_second = rate_of(this->unserved_rates),
+          .near_share =
+              1 / static_cast<double>(std::max<std::size_t>(1, domains.size()))};
+}
+
 void ServerDesk::Release(const ServerLease& lease,
                          std::optional<Outcome> outcome,
                          std::optional<ReportedLoad> load) {
@@ -107,11 +136,17 @@
 }
 
 void ServerDesk::Learn(const OutcomeSummary& outcomes) {
-  for (const auto& [server, summary] : outcomes) {
-    if (!this->list.roster().servers.contains(server)) {
+  const TimePoint now = this->context.Now();
+  for (const auto& [service, count] : outcomes.unserved_by_service) {
+    CountEvents(this->unserved_rates[service], static_cast<double>(count), now);
+  }
+  for (const auto& [server, summary] : outcomes.servers) {
+    const auto listed = this->list.roster().servers.find(server);
+    if (listed == this->list.roster().servers.end()) {
       continue;
     }
     ServerUse& use = this->UseOf(server);
+    use.used_at = std::max(use.used_at, summary.newest_at);
     if (summary.load >= 0 && summary.newest_at > use.reported_at) {
       use.reported_load = static_cast<double>(summary.load);
       use.reported_at = summary.newest_at;
@@ -119,6 +154,10 @@
     }
     // Good outcomes first: of a mixed summary the doubt is to remain.
     for (const auto& [outcome, count] : summary.counts) {
+      if (outcome == Outcome::kServed) {
+        CountEvents(this->served_rates[listed->second.listing.service],
+                    static_cast<double>(count), now);
+      }
       for (long i = 0; i < count; ++i) {
         this->LearnOne(server, outcome, summary.newest_at);
       }
@@ -155,7 +194,8 @@
           .is_cold = this->context.Now() < entry.cold_until,
           .is_near = entry.listing.failure_domain ==
                      this->context.settings.failure_domain,
-          .is_permitted = this->IsPermitted(server, entry, wish)};
+          .is_permitted = this->IsPermitted(server, entry, wish),
+          .unused = this->context.Now() - use.used_at};
 }
 
 double ServerDesk::CurrentLoad(const ServerUse& use) const {
--- a/libraries/gateway/server_desk.h
+++ b/libraries/gateway/server_desk.h
@@ -8,10 +8,12 @@
 #include <string>
 #include <vector>
 
+#include "base/rate_meter.h"
 #include "belief/server_belief.h"
 #include "gateway/gateway_context.h"
 #include "gateway/server_list.h"
 #include "mesh/outcome_summary.h"
+#include "placement/exploration.h"
 #include "placement/placement.h"
 #include "placement/start_pacer.h"
 
@@ -45,10 +47,12 @@
 class ServerDesk {
  public:
   using OnReport = std::function<void(const OutcomeReport&)>;
+  using OnUnserved = std::function<void(const std::string& service)>;
 
   ServerDesk(GatewayContext& context,
              const ServerList& list,
-             OnReport on_report);
+             OnReport on_report,
+             OnUnserved on_unserved);
 
   // Takes a place; nothing when no server may be used or is likely to be done
   // in time.
@@ -62,6 +66,9 @@
   // Notes an outcome of a request that still runs, such as one overdue.
   void Note(const ServerLease& lease, Outcome outcome);
 
+  // A request for the service ended without a success.
+  void NoteUnserved(const std::string& service) { this->on_unserved(service); }
+
   // Another server answered at the address of this one.
   void NoteMisdirected(const ServerLease& lease);
 
@@ -85,6 +92,7 @@
     TimePoint reported_at;
     long in_flight = 0;
     long sent_since_report = 0;
+    TimePoint used_at;  // when any instance last saw an outcome, or took it
     TimePoint misdirected_until;
   };
 
@@ -100,14 +108,21 @@
   void NotePath(ServerUse& use, Outcome outcome);
   ColdBound ColdBoundOf(const std::string& service) const;
   void NoteWork(const ServerLease& lease);
+  std::optional<std::size_t> Choose(const std::vector<PlacementCandidate>& candidates,
+                     const PlacementNeed& need,
+                     const std::string& service);
+  ServiceTraffic TrafficOf(const std::string& service) const;
 
   GatewayContext& context;
   const ServerList& list;
   OnReport on_report;
+  OnUnserved on_unserved;
   SpellModel model;
   StartPacer pacer;
   std::map<std::string, ServerUse> uses;
   std::map<std::string, Duration> usual_work;  // by service
+  std::map<std::string, RateMeter> served_rates;    // by service
+  std::map<std::string, RateMeter> unserved_rates;  // by service
 };
 
 }  // namespace parsleyquay
--- a/libraries/mesh/digest.cc
+++ b/libraries/mesh/digest.cc
@@ -118,7 +118,7 @@
       server.counts[static_cast<Outcome>(outcome)] = count;
     }
   }
-  outcomes[row[0].asString()] = std::move(server);
+  outcomes.servers[row[0].asString()] = std::move(server);
 }
 
 }  // namespace
@@ -152,9 +152,12 @@
     row.append(Json::Int64(ToMilliseconds(member.age)));
     parameters["m"].append(std::move(row));
   }
-  for (const auto& [name, server] : digest.outcomes) {
+  for (const auto& [name, server] : digest.outcomes.servers) {
     parameters["o"].append(EncodeSummary(name, server, now));
   }
+  for (const auto& [service, count] : digest.outcomes.unserved_by_service) {
+    parameters["u"][service] = Json::Int64(count);
+  }
   return parameters;
 }
 
@@ -181,6 +184,10 @@
   for (const Json::Value& row : parameters["o"]) {
     DecodeSummary(row, digest.outcomes, now);
   }
+  for (const std::string& service : parameters["u"].getMemberNames()) {
+    digest.outcomes.unserved_by_service[service] =
+        static_cast<long>(parameters["u"][service].asInt64());
+  }
   return digest;
 }
 
--- a/libraries/mesh/outcome_summary.cc
+++ b/libraries/mesh/outcome_summary.cc
@@ -7,7 +7,7 @@
 void AddOutcome(OutcomeSummary& summary,
                 const OutcomeReport& report,
                 TimePoint now) {
-  ServerSummary& server = summary[report.server];
+  ServerSummary& server = summary.servers[report.server];
   ++server.counts[report.outcome];
   if (report.load >= 0) {
     server.load = report.load;
@@ -16,8 +16,11 @@
 }
 
 void AddSummary(OutcomeSummary& summary, const OutcomeSummary& other) {
-  for (const auto& [name, added] : other) {
-    ServerSummary& server = summary[name];
+  for (const auto& [service, count] : other.unserved_by_service) {
+    summary.unserved_by_service[service] += count;
+  }
+  for (const auto& [name, added] : other.servers) {
+    ServerSummary& server = summary.servers[name];
     for (const auto& [outcome, count] : added.counts) {
       server.counts[outcome] += count;
     }
@@ -33,7 +36,7 @@
 }
 
 bool HasUrgent(const OutcomeSummary& summary) {
-  return std::ranges::any_of(summary, [](const auto& item) {
+  return std::ranges::any_of(summary.servers, [](const auto& item) {
     return std::ranges::any_of(item.second.counts, [](const auto& count) {
       return IsUrgent(count.first);
     });
--- a/libraries/mesh/outcome_summary.h
+++ b/libraries/mesh/outcome_summary.h
@@ -27,7 +27,17 @@
   bool operator==(const ServerSummary&) const = default;
 };
 
-using OutcomeSummary = std::map<std::string, ServerSummary>;
+// What many requests showed, of all servers.
+struct OutcomeSummary {
+  std::map<std::string, ServerSummary> servers;
+  // Requests that ended without a success, for whatever reason.
+  std::map<std::string, long> unserved_by_service;
+
+  bool is_empty() const {
+    return this->servers.empty() && this->unserved_by_service.empty();
+  }
+  bool operator==(const OutcomeSummary&) const = default;
+};
 
 void AddOutcome(OutcomeSummary& summary,
                 const OutcomeReport& report,
--- a/libraries/placement/placement.cc
+++ b/libraries/placement/placement.cc
@@ -17,9 +17,10 @@
 // A server that has just started takes about twice the usual time.
 constexpr double kColdFactor = 2;
 
-// Bytes between failure domains are dear, those of large answers most.
-constexpr double kFarMilliseconds = 2;
-constexpr double kFarBulkMilliseconds = 120;
+// Bytes between failure domains are dear: a large answer from afar may cost
+// more than it is worth, so the near servers are tried first.
+constexpr double kFarMilliseconds = 60;
+constexpr double kFarBulkMilliseconds = 1'500;
 
 // How readily a dearer server is drawn: one that costs this much more is drawn
 // e times less often.
