--- /dev/null
+++ b/tests/allowance/allowance_test.cc
@@ -0,0 +1,93 @@
+#include <catch2/catch.hpp>
+#include <random>
+#include <vector>
+
+#include "allowance/allowance_home.h"
+#include "allowance/spare_share.h"
+
+namespace parsleyquay {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(1'000));
+const WorkspaceTerms kTerms{.requests_per_second = 20, .burst = 30};
+const AllowanceTolerance kTolerance{.window = seconds(5), .overshoot = 0.1,
+                                    .slack = 20};
+
+TEST_CASE("a bucket begins empty and fills to the burst") {
+  AllowanceHome home;
+  BeginMetering(home, "w", kStart);
+  CHECK_FALSE(TakeToken(home, "w", kTerms, Duration(0), kStart).is_granted);
+  int granted = 0;
+  while (TakeToken(home, "w", kTerms, Duration(0), kStart + seconds(60))
+             .is_granted) {
+    ++granted;
+  }
+  CHECK(granted == 30);
+}
+
+TEST_CASE("a request may wait for a token that comes soon") {
+  AllowanceHome home;
+  BeginMetering(home, "w", kStart);
+  const auto answer =
+      TakeToken(home, "w", kTerms, milliseconds(100), kStart);
+  CHECK(answer.is_granted);
+  CHECK(answer.retry_after == milliseconds(50));
+  CHECK_FALSE(
+      TakeToken(home, "w", kTerms, milliseconds(60), kStart).is_granted);
+}
+
+TEST_CASE("a lowered limit binds from the next request on") {
+  AllowanceHome home;
+  BeginMetering(home, "w", kStart);
+  const WorkspaceTerms lower{.requests_per_second = 2, .burst = 3};
+  int granted = 0;
+  while (TakeToken(home, "w", lower, Duration(0), kStart + seconds(60))
+             .is_granted) {
+    ++granted;
+  }
+  CHECK(granted == 3);
+}
+
+// A seeded search: homes that change hands at any time, instances cut off from
+// them that spend their own share, everybody asking for as much as there is.
+TEST_CASE("no window exceeds the bound, whatever is cut or moved") {
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    std::mt19937 random(seed);
+    constexpr std::size_t kInstances = 36;
+    std::vector<SlidingWindow> spares(kInstances);
+    AllowanceHome home;
+    std::vector<TimePoint> let_through;
+    for (int step = 0; step < 1'500; ++step) {
+      const TimePoint now = kStart + milliseconds(20 * step);
+      if (random() % 97 == 0) {
+        home = {};  // another instance takes over
+        BeginMetering(home, "w", now);
+      }
+      for (int ask = 0; ask < 6; ++ask) {
+        const std::size_t instance = random() % kInstances;
+        const bool is_cut = (instance + static_cast<std::size_t>(step) / 200) %
+                                3 == 0;
+        const long share =
+            SpareRequests(kTerms, kTolerance, instance, kInstances);
+        const bool is_granted =
+            is_cut ? TakeSpare(spares[instance], share, kTolerance.window, now)
+                   : TakeToken(home, "w", kTerms, Duration(0), now).is_granted;
+        if (is_granted) {
+          let_through.push_back(now);
+        }
+      }
+    }
+    const double bound =
+        (kTerms.requests_per_second * 5 + kTerms.burst) * 1.1 + 20;
+    for (std::size_t first = 0, last = 0; first < let_through.size(); ++first) {
+      while (last < let_through.size() &&
+             let_through[last] - let_through[first] <= kTolerance.window) {
+        ++last;
+      }
+      REQUIRE(static_cast<double>(last - first) <= bound);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace parsleyquay
--- /dev/null
+++ b/tests/belief/server_belief_test.cc
@@ -0,0 +1,82 @@
+#include "belief/server_belief.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace parsleyquay {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(1'000));
+const SpellModel kModel;
+
+TEST_CASE("one failure is strong evidence and fades with the spell") {
+  ServerBelief belief = MakeServerBelief(kModel, kStart);
+  belief = Learn(belief, kModel, Outcome::kFailed, kStart);
+  CHECK(belief.spell_probability > 0.9);
+  CHECK(Fade(belief, kModel, kStart + seconds(60)).spell_probability ==
+        Approx(kModel.spell_share).margin(0.01));
+}
+
+TEST_CASE("a shed request says nothing of health") {
+  const ServerBelief belief = MakeServerBelief(kModel, kStart);
+  CHECK(Learn(belief, kModel, Outcome::kShed, kStart) == belief);
+}
+
+TEST_CASE("an older reading does not turn the clock back") {
+  const ServerBelief belief =
+      Learn(MakeServerBelief(kModel, kStart), kModel, Outcome::kServed, kStart);
+  CHECK(Fade(belief, kModel, kStart - seconds(5)) == belief);
+}
+
+// Servers that fail by spells as the model says: what is believed must be
+// borne out, or the choice of servers weighs wrongly.
+TEST_CASE("beliefs are borne out by what happens") {
+  std::mt19937 random(11);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const double cycle =
+      std::chrono::duration<double>(kModel.mean_cycle).count();
+  constexpr Duration kStep = milliseconds(100);
+  constexpr double kStepSeconds = 0.1;
+  struct Bin {
+    long count = 0;
+    long failures = 0;
+    double expected = 0;
+  };
+  std::array<Bin, 10> bins = {};
+  for (int server = 0; server < 60; ++server) {
+    bool is_in_spell = uniform(random) < kModel.spell_share;
+    ServerBelief belief = MakeServerBelief(kModel, kStart);
+    for (int step = 0; step < 3'000; ++step) {
+      const TimePoint now = kStart + kStep * step;
+      const double rate = is_in_spell ? 1 / (cycle * kModel.spell_share)
+                                      : 1 / (cycle * (1 - kModel.spell_share));
+      is_in_spell = uniform(random) < rate * kStepSeconds ? !is_in_spell
+                                                          : is_in_spell;
+      if (uniform(random) > 0.4) {
+        continue;
+      }
+      const double believed =
+          FailureProbability(Fade(belief, kModel, now), kModel);
+      const bool has_failed =
+          uniform(random) < (is_in_spell ? kModel.spell_failure_share
+                                         : kModel.usual_failure_share);
+      Bin& bin = bins[std::min<std::size_t>(
+          bins.size() - 1, static_cast<std::size_t>(believed * 10))];
+      ++bin.count;
+      bin.failures += has_failed ? 1 : 0;
+      bin.expected += believed;
+      belief = Learn(belief, kModel,
+                     has_failed ? Outcome::kFailed : Outcome::kServed, now);
+    }
+  }
+  for (const Bin& bin : bins) {
+    if (bin.count >= 500) {
+      const auto count = static_cast<double>(bin.count);
+      CHECK(static_cast<double>(bin.failures) / count ==
+            Approx(bin.expected / count).margin(0.05));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace parsleyquay
--- /dev/null
+++ b/tests/placement/placement_test.cc
@@ -0,0 +1,146 @@
+#include "placement/placement.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "placement/exploration.h"
+#include "placement/start_pacer.h"
+
+namespace parsleyquay {
+namespace {
+
+constexpr double kGood = 0.02;
+constexpr double kBad = 0.7;
+
+PlacementCandidate Server(double failure_probability, double load = 0) {
+  return {.failure_probability = failure_probability, .load = load, .slots = 3};
+}
+
+std::vector<int> CountDraws(const std::vector<PlacementCandidate>& candidates,
+                            const PlacementNeed& need,
+                            int draws = 5'000) {
+  std::mt19937_64 random(3);
+  std::vector<int> counts(candidates.size());
+  for (int i = 0; i < draws; ++i) {
+    if (const auto drawn = DrawServer(candidates, need, random())) {
+      ++counts[*drawn];
+    }
+  }
+  return counts;
+}
+
+TEST_CASE("what may run once avoids a doubted server") {
+  const auto counts =
+      CountDraws({Server(kGood), Server(kGood), Server(kBad)}, {});
+  CHECK(counts[2] == 0);
+  CHECK(counts[0] > 2'000);
+  CHECK(counts[1] > 2'000);
+}
+
+TEST_CASE("half of the servers doubted: the rest is not overrun") {
+  // The good servers hold two full rounds of work; a doubted one is free.
+  const auto counts = CountDraws({Server(kGood, 9), Server(0.3)},
+                                 {.may_repeat = true});
+  CHECK(counts[1] > counts[0]);
+}
+
+TEST_CASE("a server that cannot be done in time is not chosen") {
+  const PlacementNeed need{.usual_work = milliseconds(300),
+                           .time_left = milliseconds(400)};
+  CHECK(CountDraws({Server(kGood, 12)}, need)[0] == 0);
+  CHECK(CountDraws({Server(kGood, 1)}, need)[0] > 0);
+}
+
+TEST_CASE("large answers come from near while near is well") {
+  PlacementCandidate far = Server(kGood);
+  far.is_near = false;
+  const PlacementNeed bulk{.may_repeat = true, .is_bulk = true};
+  CHECK(CountDraws({Server(0.25), far}, bulk)[1] < 10);
+  const PlacementNeed last_try{.may_repeat = false, .is_bulk = true};
+  CHECK(CountDraws({Server(kBad), far}, last_try)[1] > 4'900);
+}
+
+TEST_CASE("a cold server gets less than a warm one") {
+  PlacementCandidate cold = Server(kGood);
+  cold.is_cold = true;
+  const auto counts = CountDraws({Server(kGood), cold}, {});
+  CHECK(counts[1] * 3 < counts[0]);
+}
+
+TEST_CASE("nothing is chosen where nothing is permitted") {
+  PlacementCandidate closed = Server(kGood);
+  closed.is_permitted = false;
+  CHECK_FALSE(DrawServer({closed, closed}, {}, 1));
+  CHECK_FALSE(DrawServer({}, {}, 1));
+}
+
+std::vector<int> CountTrials(std::vector<PlacementCandidate> candidates,
+                             const PlacementNeed& need,
+                             const ServiceTraffic& traffic) {
+  std::mt19937_64 random(5);
+  std::vector<int> counts(candidates.size());
+  for (int i = 0; i < 2'000; ++i) {
+    const auto trial = DrawTrial(candidates, need, traffic, random());
+    for (std::size_t k = 0; trial && k < trial->size(); ++k) {
+      counts[k] += (*trial)[k].is_permitted ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
+TEST_CASE("a server that joined is tried soon") {
+  PlacementCandidate unused = Server(0.23);
+  unused.unused = seconds(60);
+  const auto counts = CountTrials({Server(kGood), unused}, {},
+                                  {.served_per_second = 20});
+  CHECK(counts[1] > 100);
+  CHECK(counts[0] == 0);
+}
+
+TEST_CASE("a doubted server is left alone while little goes unserved") {
+  PlacementCandidate doubted = Server(kBad);
+  doubted.unused = seconds(4);
+  const ServiceTraffic calm{.served_per_second = 50, .unserved_per_second = 1};
+  CHECK(CountTrials({doubted}, {}, calm)[0] == 0);
+  SECTION("but tried when much does: the floor") {
+    const ServiceTraffic floor{.served_per_second = 40,
+                               .unserved_per_second = 6};
+    CHECK(CountTrials({doubted}, {}, floor)[0] > 0);
+  }
+  SECTION("but tried by what may be sent again") {
+    CHECK(CountTrials({doubted}, {.may_repeat = true}, calm)[0] > 0);
+  }
+}
+
+TEST_CASE("cold starts: the sum over all instances keeps the bound") {
+  const ColdBound bound{.requests_per_second = 7.3, .overshoot = 1.5,
+                        .slack = 5};
+  std::vector<std::string> instances;
+  for (int i = 0; i < 44; ++i) {
+    instances.push_back("instance-" + std::to_string(i));
+  }
+  std::map<std::string, StartPacer> pacers;
+  std::vector<TimePoint> sent;
+  const TimePoint start = TimePoint(seconds(50));
+  // Every instance would send all the time.
+  for (int step = 0; step < 600; ++step) {
+    const TimePoint now = start + milliseconds(10 * step);
+    for (const std::string& instance : instances) {
+      if (MaySendToCold(pacers[instance], bound, instance, instances, "cold",
+                        now)) {
+        NoteSentToCold(pacers[instance], "cold", now);
+        sent.push_back(now);
+      }
+    }
+  }
+  for (const TimePoint first : sent) {
+    const auto in_second = std::count_if(
+        sent.begin(), sent.end(),
+        [&](TimePoint at) { return at >= first && at < first + seconds(1); });
+    CHECK(static_cast<double>(in_second) <= 7.3 * 1.5 + 5);
+  }
+  CHECK(sent.size() > 30);
+}
+
+}  // namespace
+}  // namespace parsleyquay
--- /dev/null
+++ b/tests/platform/decoders_test.cc
@@ -0,0 +1,159 @@
+#include <catch2/catch.hpp>
+
+#include "base/random_id.h"
+#include "platform/configuration_decoder.h"
+#include "platform/platform_dialect.h"
+#include "platform/record_frames.h"
+#include "platform/server_decoder.h"
+
+namespace parsleyquay::platform {
+namespace {
+
+constexpr char kConfiguration[] = R"({"version":7,"resources":[
+ {"resource_kind":"routes","metadata":{"name":"r1"},"spec":{
+   "host":"a.example","path_prefix":"/x/","kind":"safe","timeout":"1500ms",
+   "slo_latency":"0.8s","priority":2,"max_attempts":2,"public":true,
+   "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}},
+ {"resource_kind":"routes","metadata":{"name":"r2"},"spec":{
+   "host":"a.example","path_prefix":"/y/","kind":"download","service":"s1"}},
+ {"resource_kind":"routes","metadata":{"name":"r3"},"spec":{
+   "host":"a.example","path_prefix":"/z/","kind":"novel","service":"s1"}},
+ {"resource_kind":"services","metadata":{"name":"s1"},"spec":{
+   "health_path":"/health","max_conns":330,"cold_start":"3s","cold_per_s":7.3}},
+ {"resource_kind":"tenants","metadata":{"name":"w1"},"spec":{
+   "api_keys":["k1","k2"],"priority":1,"rate_per_s":33,"burst":34}},
+ {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":1000,
+   "max_body_bytes":2000,"header_timeout":"3000ms","idle_timeout":"15s"}},
+ {"resource_kind":"novelties","metadata":{},"spec":{}}]})";
+
+template <typename T>
+bool IsOk(const std::function<Result<T>()>& action) {
+  return RunOrReport(
+      [&]() -> Result<void> {
+        BOOST_LEAF_CHECK(action());
+        return {};
+      },
+      [](const Error& error) { CHECK_FALSE(error.detail.empty()); });
+}
+
+bool IsServer(const std::string& text) {
+  return IsOk<ServerListing>([&] { return DecodeServer(text); });
+}
+
+bool IsConfiguration(const std::string& text) {
+  return IsOk<FleetConfiguration>([&] { return DecodeConfiguration(text); });
+}
+
+TEST_CASE("a configuration is decoded whole") {
+  const FleetConfiguration decoded = DecodeConfiguration(kConfiguration).value();
+  CHECK(decoded.version == 7);
+  REQUIRE(decoded.routes.size() == 3);
+  const HostRoute& route = decoded.routes[0];
+  CHECK(route.is_idempotent);
+  CHECK(route.is_public);
+  CHECK_FALSE(route.is_bulk);
+  CHECK(route.timeout == milliseconds(1'500));
+  CHECK(route.latency_target == milliseconds(800));
+  CHECK(route.most_servers == 2);
+  CHECK(route.services ==
+        std::vector<WeightedService>{{"s1", 90}, {"s2", 10}});
+  CHECK(decoded.routes[1].is_bulk);
+  CHECK(decoded.routes[1].is_idempotent);
+  CHECK_FALSE(decoded.routes[2].is_idempotent);
+  CHECK(decoded.services.at("s1").cold_requests_per_second == Approx(7.3));
+  const WorkspaceTerms& workspace = decoded.workspaces.at("w1");
+  CHECK(workspace.key_digests ==
+        std::vector<std::string>{SecretDigest("k1"), SecretDigest("k2")});
+  CHECK(workspace.burst == 34);
+  CHECK(decoded.limits.most_body_bytes == 2'000);
+  CHECK(decoded.limits.idle_timeout == seconds(15));
+}
+
+TEST_CASE("a configuration that cannot be read is refused") {
+  for (const char* text :
+       {"", "[]", "{", R"({"resources":[]})", R"({"version":"7","resources":[]})",
+        R"({"version":7,"resources":{}})", R"({"version":7,"resources":[1]})",
+        R"({"version":7,"resources":[{"resource_kind":"routes","spec":{}}]})",
+        R"({"version":7,"resources":[{"resource_kind":"routes","metadata":{},
+            "spec":{"host":"a","path_prefix":"/","kind":"safe"}}]})"}) {
+    CHECK_FALSE(IsConfiguration(text));
+  }
+}
+
+TEST_CASE("an evacuation withdraws a failure domain until it is removed") {
+  CHECK(DecodeOperatorRecord({"evacuate/z1", "{}"}).value() ==
+        OperatorChange(DomainWithdrawal{"z1", true}));
+  CHECK(DecodeOperatorRecord({"evacuate/z1", std::nullopt}).value() ==
+        OperatorChange(DomainWithdrawal{"z1", false}));
+}
+
+TEST_CASE("a server's entry is decoded and a strange one names no server") {
+  const std::string good =
+      R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1",
+          "slots":3,"state":"ready","cold_remaining":"250ms","seq":4,
+          "born":1789905170069})";
+  const ServerListing listing = DecodeServer(good).value();
+  CHECK(listing.failure_domain == "z");
+  CHECK(listing.cold_remaining == milliseconds(250));
+  CHECK(listing.incarnation == 1'789'905'170'069);
+  const auto changed = [&](const std::string& from, const std::string& to) {
+    std::string text = good;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+  };
+  CHECK(IsServer(changed(R"("ready")", R"("draining")")));
+  CHECK_FALSE(IsServer("\x01\x02 not JSON"));
+  CHECK_FALSE(IsServer("null"));
+  CHECK_FALSE(IsServer(changed(R"("ready")", R"("resting")")));
+  CHECK_FALSE(IsServer(changed(R"("slots":3)", R"("slots":"3")")));
+  CHECK_FALSE(IsServer(changed(R"("slots":3)", R"("slots":0)")));
+  CHECK_FALSE(IsServer(changed(R"("slots":3,)", "")));
+  CHECK_FALSE(IsServer(changed("10.0.0.9:8080", "somewhere")));
+  CHECK_FALSE(IsServer(changed(R"("250ms")", "250")));
+  CHECK_FALSE(IsServer(changed("1789905170069", "1.5")));
+  CHECK_FALSE(IsServer(changed(R"("seq":4)", R"("seq":-4)")));
+}
+
+TEST_CASE("records are framed and a torn page is refused") {
+  const std::string header = std::string(7, '\0') + '\x05' +
+                             std::string(7, '\0') + '\x02';
+  const std::string frame = EncodeKeyedRecord({"key", "value"});
+  const auto page = DecodeRecordPage(
+      header + frame + EncodeKeyedRecord({"gone", std::nullopt}));
+  REQUIRE(page);
+  CHECK(page->end == 5);
+  CHECK(page->first == 2);
+  REQUIRE(page->records.size() == 2);
+  CHECK(page->records[0] == KeyedRecord{"key", "value"});
+  CHECK(page->records[1] == KeyedRecord{"gone", std::nullopt});
+  CHECK_FALSE(DecodeRecordPage(header + frame.substr(0, frame.size() - 1)));
+  CHECK_FALSE(DecodeRecordPage("short"));
+}
+
+TEST_CASE("a record that is no keyed record keeps its offset") {
+  const std::string header(16, '\0');
+  const std::string empty_record(4, '\0');
+  const std::string key_too_long = std::string("\0\0\0\x02\x09", 5) + "x";
+  const auto page = DecodeRecordPage(header + empty_record + key_too_long +
+                                     EncodeKeyedRecord({"k", "v"}));
+  REQUIRE(page);
+  REQUIRE(page->records.size() == 3);
+  CHECK_FALSE(page->records[0]);
+  CHECK_FALSE(page->records[1]);
+  CHECK(page->records[2]);
+}
+
+TEST_CASE("the dialect reads loads and questions for addresses") {
+  const Dialect dialect = MakePlatformDialect();
+  CHECK(dialect.parse_load("3,1,8") == ReportedLoad{3, 1, 8});
+  CHECK_FALSE(dialect.parse_load("3,1"));
+  CHECK_FALSE(dialect.parse_load("full"));
+  CHECK(dialect.parse_address_question("/api/resolve?name=h&zone=z")
+            ->failure_domain == "z");
+  CHECK_FALSE(dialect.parse_address_question("/api/other"));
+  CHECK(dialect.encode_address_answer({{"1.2.3.4:5"}, milliseconds(2'500)}) ==
+        R"({"addresses":["1.2.3.4:5"],"ttl":"2500ms"})");
+}
+
+}  // namespace
+}  // namespace parsleyquay::platform
--- /dev/null
+++ b/tests/roster/server_roster_test.cc
@@ -0,0 +1,107 @@
+#include "roster/server_roster.h"
+
+#include <catch2/catch.hpp>
+
+namespace parsleyquay {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(1'000));
+
+ServerChange Listed(std::uint64_t incarnation,
+                    std::uint64_t sequence,
+                    bool is_draining = false) {
+  return {"s1", ServerListing{.service = "lookup",
+                              .address = "127.0.0.1:1",
+                              .failure_domain = "a",
+                              .is_draining = is_draining,
+                              .incarnation = incarnation,
+                              .sequence = sequence}};
+}
+
+const ServerChange kGone = {"s1", std::nullopt};
+
+TEST_CASE("a heartbeat changes nothing and an older one is overtaken") {
+  ServerRoster roster;
+  CHECK(ApplyServerChange(roster, Listed(5, 1), kStart) == RosterEvent::kAdded);
+  CHECK(ApplyServerChange(roster, Listed(5, 2), kStart) == RosterEvent::kNone);
+  CHECK(ApplyServerChange(roster, Listed(5, 3, true), kStart) ==
+        RosterEvent::kDraining);
+  CHECK(ApplyServerChange(roster, Listed(5, 2), kStart) ==
+        RosterEvent::kOvertaken);
+  CHECK_FALSE(MayReceiveWork(roster, roster.servers.at("s1")));
+}
+
+TEST_CASE("a new life under the same name begins anew") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 90, true), kStart);
+  CHECK(ApplyServerChange(roster, Listed(6, 1), kStart) ==
+        RosterEvent::kRestarted);
+  CHECK(MayReceiveWork(roster, roster.servers.at("s1")));
+}
+
+TEST_CASE("a server that has left is not brought back by an old entry") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9), kStart);
+  CHECK(ApplyServerChange(roster, kGone, kStart) == RosterEvent::kRemoved);
+  CHECK(ApplyServerChange(roster, Listed(5, 8), kStart) ==
+        RosterEvent::kOvertaken);
+  CHECK(roster.servers.empty());
+  CHECK(ApplyServerChange(roster, Listed(5, 10), kStart) ==
+        RosterEvent::kAdded);
+}
+
+TEST_CASE("an entry that lapsed in an outage is used until it counts as gone") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9), kStart);
+  NoteListRegained(roster, kStart);
+  CHECK(ApplyServerChange(roster, kGone, kStart + milliseconds(100)) ==
+        RosterEvent::kLapsed);
+  CHECK(MayReceiveWork(roster, roster.servers.at("s1")));
+  SECTION("and stays when it is written again") {
+    ApplyServerChange(roster, Listed(5, 10), kStart + seconds(1));
+    CHECK(RemoveLapsed(roster, kStart + seconds(9)).empty());
+  }
+  SECTION("and goes when it is not") {
+    CHECK(RemoveLapsed(roster, kStart + seconds(1)).empty());
+    CHECK(RemoveLapsed(roster, kStart + kLapseGrace).size() == 1);
+    CHECK(roster.servers.empty());
+  }
+}
+
+TEST_CASE("a draining server that vanishes in an outage is gone at once") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9, true), kStart);
+  NoteListRegained(roster, kStart);
+  CHECK(ApplyServerChange(roster, kGone, kStart) == RosterEvent::kRemoved);
+}
+
+TEST_CASE("a whole list removes what it does not name") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9), kStart);
+  const auto changes = ChangesToWholeList(roster, {});
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0] == kGone);
+}
+
+TEST_CASE("a withdrawn failure domain gets no work") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9), kStart);
+  roster.withdrawn_domains = {"a"};
+  CHECK_FALSE(MayReceiveWork(roster, roster.servers.at("s1")));
+}
+
+TEST_CASE("a server that turns cold again is news") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9), kStart);
+  ServerChange cold = Listed(5, 10);
+  cold.listing->cold_remaining = seconds(3);
+  CHECK(ApplyServerChange(roster, cold, kStart) == RosterEvent::kCooled);
+  CHECK(roster.servers.at("s1").cold_until == kStart + seconds(3));
+  cold.listing->sequence = 11;
+  cold.listing->cold_remaining = milliseconds(1'500);
+  CHECK(ApplyServerChange(roster, cold, kStart + milliseconds(1'500)) ==
+        RosterEvent::kNone);
+}
+
+}  // namespace
+}  // namespace parsleyquay
