tests: Meet every kind of answer over real connections

Twenty-six cases against one gateway in the test's process, with feeds that the test fills and servers that send the bytes of a script: forged headers, keys, chunks, resets, torn, crossed, doubled, unframed and early answers, refusals that are promises and those that are not, callers that leave, limits, leaving servers, withdrawn domains, a lost store, SIGTERM.

--- /dev/null
+++ b/tests/gateway/answers_test.cc
@@ -0,0 +1,400 @@
+// What a caller gets, and what a server is sent, over real connections: proper
+// answers and every kind that is not.
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "support/gateway_fixture.h"
+
+namespace parsleyquay {
+namespace {
+
+ScriptedServer::Script Good(const std::string& body) {
+  return [body](const RawRequest& request) {
+    return RawAnswer{GoodAnswer(request, body)};
+  };
+}
+
+ScriptedServer::Script Status(const std::string& status,
+                              const std::string& headers = "") {
+  return [status, headers](const RawRequest& request) {
+    return RawAnswer{AnswerWith(request, status, headers, "x")};
+  };
+}
+
+struct OneServer : GatewayFixture {
+  explicit OneServer(ScriptedServer::Script script)
+      : server(this->AddServer("s-1", std::move(script))) {
+    this->Configure();
+    REQUIRE(this->AwaitReady());
+  }
+  ScriptedServer& server;
+};
+
+// Two servers, of which one misbehaves. Requests are sent until both were
+// used, so that each test meets the bad one.
+struct TwoServers : GatewayFixture {
+  explicit TwoServers(ScriptedServer::Script bad_script)
+      : bad(this->AddServer("s-bad", std::move(bad_script))),
+        good(this->AddServer("s-good", Good("fine"))) {
+    this->Configure();
+    REQUIRE(this->AwaitReady());
+  }
+  // The answer to the first request that met the bad server.
+  SimpleAnswer SendUntilBad(const std::string& method,
+                            const std::string& target,
+                            const std::string& body = "") {
+    for (int i = 0; i < 300; ++i) {
+      const std::size_t before = this->bad.requests().size();
+      const SimpleAnswer answer = this->Send(method, target, {}, body);
+      if (this->bad.requests().size() > before) {
+        return answer;
+      }
+    }
+    FAIL("the bad server was never used");
+    return {};
+  }
+  ScriptedServer& bad;
+  ScriptedServer& good;
+};
+
+TEST_CASE("a request goes on unchanged, with what the system sets") {
+  OneServer fixture(Good("hello"));
+  const SimpleAnswer answer = fixture.Send(
+      "POST", "/once/a%2fb/../c?q=1&r=%20",
+      {{"Tenant", "forged"},
+       {"Expected-Instance", "forged"},
+       {"X-Custom", "kept"},
+       {"X-Hop", "dropped"},
+       {"Connection", "X-Hop"}},
+      "body-bytes");
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "hello");
+  CHECK(HeaderText(answer.headers, "Response-Signature") == "sig");
+  CHECK(HeaderText(answer.headers, "Request-Id") == "r-1");
+  REQUIRE(fixture.server.requests().size() == 1);
+  const RawRequest& sent = fixture.server.requests()[0];
+  CHECK(sent.head.starts_with("POST /once/a%2fb/../c?q=1&r=%20 HTTP/1.1\r\n"));
+  CHECK(sent.body == "body-bytes");
+  CHECK(RawHeader(sent.head, "Host") == "a.example");
+  CHECK(RawHeader(sent.head, "Request-Id") == "r-1");
+  CHECK(RawHeader(sent.head, "Tenant") == "shop");
+  CHECK(RawHeader(sent.head, "Expected-Instance") == "s-1");
+  CHECK(RawHeader(sent.head, "X-Custom") == "kept");
+  CHECK(sent.head.find("forged") == std::string::npos);
+  for (const char* absent :
+       {"Authorization", "X-Hop", "Expect", "Accept", "User-Agent"}) {
+    CHECK(RawHeader(sent.head, absent).empty());
+  }
+  const int left = std::stoi(RawHeader(sent.head, "Request-Deadline"));
+  CHECK(left <= 1'000);
+  CHECK(left > 800);
+}
+
+TEST_CASE("a server is handed no more time than the route allows") {
+  OneServer fixture(Good("hello"));
+  fixture.Send("GET", "/safe/1", {{"Request-Deadline", "60000"}});
+  CHECK(std::stoi(RawHeader(fixture.server.requests().at(0).head,
+                            "Request-Deadline")) <= 1'200);
+}
+
+TEST_CASE("a request without a configuration is refused as not run") {
+  GatewayFixture fixture;
+  CHECK(fixture.Ask(fixture.settings.readiness_address, "/api/ready").status ==
+        503);
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK(answer.status == 503);
+  CHECK_FALSE(HeaderText(answer.headers, "Retry-After").empty());
+}
+
+TEST_CASE("keys and routes decide who is served") {
+  OneServer fixture(Good("hello"));
+  CHECK(fixture.Send("GET", "/safe/1", {{"Authorization", "Bearer no"}})
+            .status == 401);
+  CHECK(fixture.Send("GET", "/safe/1", {{"Authorization", "Basic shop-key"}})
+            .status == 401);
+  CHECK(fixture.Send("GET", "/none/1").status == 404);
+  CHECK(fixture.Send("GET", "/safe/1", {{"Host", "b.example"}}).status == 404);
+  CHECK(fixture.server.requests().empty());
+  CHECK(fixture.Send("GET", "/open/1", {{"Authorization", "Bearer no"}})
+            .status == 200);
+  const std::string& head = fixture.server.requests().at(0).head;
+  CHECK(RawHeader(head, "Authorization").empty());
+  CHECK(RawHeader(head, "Tenant").empty());
+}
+
+TEST_CASE("a chunked body arrives whole") {
+  OneServer fixture(Good("hello"));
+  const std::string body(150'000, 'b');
+  std::size_t sent = 0;
+  std::optional<int> status;
+  CallHandlers handlers;
+  handlers.read_body = [&](char* buffer, std::size_t capacity) {
+    const std::size_t size = std::min(capacity, body.size() - sent);
+    std::copy_n(body.data() + sent, size, buffer);
+    sent += size;
+    return BodyChunk{size > 0 ? BodyState::kData : BodyState::kEnd, size};
+  };
+  handlers.on_head = [&](int got, const HeaderList&) { status = got; };
+  fixture.caller.Start({.method = "POST",
+                        .address = fixture.settings.request_address,
+                        .target = "/once/1",
+                        .headers = {{"Host", "a.example"},
+                                    {"Request-Id", "r-1"},
+                                    {"Request-Deadline", "1000"},
+                                    {"Authorization", "Bearer shop-key"}},
+                        .has_body = true},
+                       std::move(handlers));
+  REQUIRE(fixture.Await([&] { return status.has_value(); }));
+  CHECK(*status == 200);
+  const RawRequest& request = fixture.server.requests().at(0);
+  CHECK(static_cast<std::size_t>(std::count(
+            request.body.begin(), request.body.end(), 'b')) >= body.size());
+}
+
+TEST_CASE("what may run once is sent once when its connection is reset") {
+  TwoServers fixture([](const RawRequest&) {
+    return RawAnswer{"", ConnectionEnd::kReset};
+  });
+  const std::size_t good_before = fixture.good.requests().size();
+  const SimpleAnswer answer = fixture.SendUntilBad("POST", "/once/1", "x");
+  CHECK(answer.status == 502);
+  CHECK(fixture.bad.requests().size() == 1);
+  CHECK(fixture.good.requests().size() >= good_before);
+}
+
+TEST_CASE("what a server has not run is sent to another") {
+  for (const char* status : {"503 Full", "429 Full"}) {
+    TwoServers fixture(Status(status, "Not-Executed: 1\r\n"));
+    const SimpleAnswer answer = fixture.SendUntilBad("POST", "/once/1", "x");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "fine");
+  }
+  TwoServers fixture(Status("421 Misdirected", "Instance-Id: other\r\n"));
+  CHECK(fixture.SendUntilBad("POST", "/once/1", "x").body == "fine");
+}
+
+TEST_CASE("a refusal by all servers is passed on as not run") {
+  OneServer fixture(Status("503 Full", "Not-Executed: 1\r\n"));
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK(answer.status == 503);
+  CHECK(HeaderText(answer.headers, "Not-Executed").empty());
+  CHECK_FALSE(HeaderText(answer.headers, "Retry-After").empty());
+}
+
+TEST_CASE("a server's own refusal does not seem to promise that it has not run") {
+  for (const char* status : {"503 Busy", "429 Busy", "408 Slow"}) {
+    OneServer fixture(Status(status, "Response-Signature: sig\r\n"));
+    const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+    CHECK(answer.status == 502);
+    CHECK(HeaderText(answer.headers, "Response-Signature").empty());
+  }
+}
+
+TEST_CASE("a server's failure is passed on unchanged where it counts as run") {
+  OneServer fixture(Status("500 Oops", "Response-Signature: sig\r\n"));
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK(answer.status == 500);
+  CHECK(HeaderText(answer.headers, "Response-Signature") == "sig");
+  CHECK(fixture.server.requests().size() == 1);
+}
+
+TEST_CASE("what may repeat is sent again after a failure") {
+  const auto wrong_id = [](const RawRequest& request) {
+    RawRequest other = request;
+    other.head = "GET / HTTP/1.1\r\nRequest-Id: r-other";
+    return RawAnswer{GoodAnswer(other, "not yours")};
+  };
+  const auto cut_short = [](const RawRequest& request) {
+    const std::string whole = GoodAnswer(request, "cut short");
+    return RawAnswer{whole.substr(0, whole.size() - 3), ConnectionEnd::kClose};
+  };
+  const auto garbage = [](const RawRequest&) {
+    return RawAnswer{"\x01\x02\x03 no answer at all\r\n\r\n",
+                     ConnectionEnd::kClose};
+  };
+  const std::vector<ScriptedServer::Script> scripts = {
+      Status("500 Oops", "Response-Signature: sig\r\n"),
+      Status("200 OK"),  // not signed
+      Status("200 OK",
+             "Response-Signature: sig\r\nContent-Encoding: gzip\r\n"),
+      wrong_id, cut_short, garbage,
+      [](const RawRequest&) {
+        return RawAnswer{"", ConnectionEnd::kReset};
+      }};
+  for (const ScriptedServer::Script& script : scripts) {
+    TwoServers fixture(script);
+    const SimpleAnswer answer = fixture.SendUntilBad("GET", "/safe/1");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "fine");
+  }
+}
+
+TEST_CASE("an answer that is not the request's own never reaches the caller") {
+  OneServer fixture([](const RawRequest& request) {
+    RawRequest other = request;
+    other.head = "GET / HTTP/1.1\r\nRequest-Id: r-other";
+    return RawAnswer{GoodAnswer(other, "not yours")};
+  });
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK(answer.status == 502);
+  CHECK(answer.body.find("not yours") == std::string::npos);
+}
+
+TEST_CASE("a second answer on a connection belongs to nobody") {
+  OneServer fixture([](const RawRequest& request) {
+    return RawAnswer{GoodAnswer(request, "first") +
+                     GoodAnswer(request, "second")};
+  });
+  for (int i = 0; i < 5; ++i) {
+    const SimpleAnswer answer = fixture.Send(
+        "GET", "/safe/1", {{"Request-Id", "r-" + std::to_string(i)}});
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "first");
+    CHECK(HeaderText(answer.headers, "Request-Id") ==
+          "r-" + std::to_string(i));
+  }
+}
+
+std::string WithoutLength(const RawRequest& request, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " +
+         RawHeader(request.head, "Request-Id") +
+         "\r\nResponse-Signature: sig\r\nConnection: close\r\n\r\n" + body;
+}
+
+TEST_CASE("an answer without length ends with its connection") {
+  OneServer fixture([](const RawRequest& request) {
+    return RawAnswer{WithoutLength(request, "all of it"),
+                     ConnectionEnd::kClose};
+  });
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "all of it");
+}
+
+TEST_CASE("an answer without length that is reset is not complete") {
+  OneServer fixture([](const RawRequest& request) {
+    return RawAnswer{WithoutLength(request, "a part"), ConnectionEnd::kReset};
+  });
+  CHECK(fixture.Send("POST", "/once/1", {}, "x").status == 502);
+}
+
+TEST_CASE("a long answer that breaks off does not look complete") {
+  OneServer fixture([](const RawRequest& request) {
+    const std::string whole = GoodAnswer(request, std::string(200'000, 'l'));
+    return RawAnswer{whole.substr(0, 150'000), ConnectionEnd::kClose};
+  });
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+  const bool looks_complete =
+      answer.result.outcome == CallOutcome::kComplete && answer.status == 200;
+  CHECK_FALSE(looks_complete);
+}
+
+TEST_CASE("a long answer arrives whole") {
+  const std::string body(2'000'000, 'l');
+  OneServer fixture(Good(body));
+  CHECK(fixture.Send("POST", "/once/1", {}, "x").body == body);
+  CHECK(fixture.Send("GET", "/bulk/1").body == body);
+}
+
+TEST_CASE("an answer before the body is read leaves no body behind") {
+  OneServer fixture(Status("400 Early", "Response-Signature: sig\r\n"));
+  fixture.server.AnswerBeforeBody();
+  const std::string body(300'000, 'b');
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, body);
+  CHECK(answer.status == 400);
+  fixture.Send("POST", "/once/2", {}, "x");
+  // Whatever the first connection was sent besides is the body's rest; the
+  // next request came on a connection of its own.
+  for (const RawRequest& request : fixture.server.requests()) {
+    CHECK(request.head.starts_with("POST /once/"));
+  }
+}
+
+TEST_CASE("a request that takes too long is answered when its time is up") {
+  OneServer fixture([](const RawRequest&) { return RawAnswer{}; });
+  const TimePoint began = fixture.loop.Now();
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1",
+                                           {{"Request-Deadline", "400"}}, "x");
+  CHECK(answer.status == 504);
+  CHECK(fixture.loop.Now() - began < milliseconds(650));
+}
+
+TEST_CASE("a caller that leaves ends the work at the server") {
+  OneServer fixture([](const RawRequest&) { return RawAnswer{}; });
+  const auto call = fixture.caller.Fetch(
+      {.method = "POST",
+       .address = fixture.settings.request_address,
+       .target = "/once/1",
+       .headers = {{"Host", "a.example"},
+                   {"Request-Id", "r-1"},
+                   {"Request-Deadline", "5000"},
+                   {"Authorization", "Bearer shop-key"}},
+       .connection_use = ConnectionUse::kFresh},
+      "x", [](const SimpleAnswer&) {});
+  REQUIRE(fixture.Await([&] { return fixture.server.open_connections() == 1; }));
+  REQUIRE(fixture.Await([&] { return !fixture.server.requests().empty(); }));
+  call->Cancel();
+  CHECK(fixture.Await([&] { return fixture.server.open_connections() == 0; },
+                      milliseconds(300)));
+}
+
+TEST_CASE("what exceeds the limits is refused") {
+  OneServer fixture(Good("hello"));
+  CHECK(fixture.Send("GET", "/safe/1", {{"X-Long", std::string(17'000, 'h')}})
+            .status == 431);
+  CHECK(fixture.Send("POST", "/once/1",
+                     {{"Content-Length", "900000000"}}, "x")
+            .status == 413);
+  CHECK(fixture.server.requests().empty());
+}
+
+TEST_CASE("a server that leaves gets no further work") {
+  OneServer fixture(Good("hello"));
+  CHECK(fixture.Send("GET", "/safe/1").status == 200);
+  fixture.ListServer("s-1", fixture.server.address(), true);
+  fixture.RunFor(milliseconds(1'000));
+  CHECK(fixture.Send("GET", "/safe/1").status == 503);
+  CHECK(fixture.server.requests().size() == 1);
+}
+
+TEST_CASE("a failure domain that is taken out gets no further work") {
+  OneServer fixture(Good("hello"));
+  fixture.operators.Append(DomainWithdrawal{"x", true});
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.Send("GET", "/safe/1").status == 503);
+  fixture.operators.Append(DomainWithdrawal{"x", false});
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.Send("GET", "/safe/1").status == 200);
+}
+
+TEST_CASE("an older configuration changes nothing") {
+  OneServer fixture(Good("hello"));
+  fixture.operators.Append(FleetConfiguration{.version = 5});
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.Send("GET", "/safe/1").status == 404);
+  fixture.Configure(4);
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.Send("GET", "/safe/1").status == 404);
+}
+
+TEST_CASE("an instance that has lost the store serves on") {
+  OneServer fixture(Good("hello"));
+  fixture.operators.SetAvailable(false);
+  fixture.servers.SetAvailable(false);
+  fixture.RunFor(seconds(4));
+  CHECK(fixture.Send("GET", "/safe/1").status == 200);
+}
+
+TEST_CASE("a leaving instance answers what it has read") {
+  OneServer fixture(Good("hello"));
+  fixture.gateway->BeginLeaving();
+  CHECK(fixture.Ask(fixture.settings.readiness_address, "/api/ready").status ==
+        503);
+  const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK(answer.status == 200);
+  CHECK(HeaderText(answer.headers, "Connection") == "close");
+}
+
+}  // namespace
+}  // namespace parsleyquay
--- /dev/null
+++ b/tests/support/gateway_fixture.cc
@@ -0,0 +1,177 @@
+#include "support/gateway_fixture.h"
+
+#include <sodium.h>
+
+#include <catch2/catch.hpp>
+
+#include "base/random_id.h"
+#include "platform/platform_dialect.h"
+
+namespace parsleyquay {
+
+namespace {
+
+HostRoute MakeRoute(const std::string& name, bool is_idempotent) {
+  return {.name = name,
+          .host = "a.example",
+          .path_prefix = "/" + name + "/",
+          .services = {{"work", 1}},
+          .is_idempotent = is_idempotent,
+          .timeout = milliseconds(1'200),
+          .latency_target = milliseconds(600),
+          .most_servers = 2};
+}
+
+}  // namespace
+
+GatewayFixture::GatewayFixture() {
+  REQUIRE(sodium_init() >= 0);
+  this->settings.name = "g-1";
+  this->settings.failure_domain = "x";
+  this->settings.request_address = FreeAddress();
+  this->settings.readiness_address = FreeAddress();
+  this->settings.directory_address = FreeAddress();
+  this->settings.peer_address = FreeAddress();
+  this->settings.metrics_address = FreeAddress();
+  this->settings.store_address = "127.0.0.1:1";
+  this->settings.bounds.grace = seconds(2);
+  RunOrReport(
+      [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(
+            this->gateway,
+            Gateway::Create(this->loop, this->gateway_client, this->settings,
+                            this->MakePort(), platform::MakePlatformDialect()));
+        return {};
+      },
+      [](const Error& error) { FAIL(ToString(error)); });
+}
+
+CoordinationPort GatewayFixture::MakePort() {
+  CoordinationPort port;
+  port.operators = this->operators.feed();
+  port.servers = this->servers.feed();
+  port.members = this->members.feed();
+  port.duties.duty_count = 1;
+  port.duties.renew =
+      [](const std::string&, Duration, std::uint64_t,
+         const std::function<void(std::optional<DutyAssignment>)>& on_dealt) {
+        on_dealt(DutyAssignment{1, {0}});
+      };
+  port.duties.leave = [](const std::string&,
+                         const std::function<void()>& done) { done(); };
+  port.publish_member =
+      [](const MemberChange&,
+         const std::function<void(PublishOutcome)>& on_outcome) {
+        on_outcome(PublishOutcome::kDone);
+      };
+  port.agree_on_secret =
+      [](const std::string& proposal,
+         const std::function<void(std::optional<std::string>)>& on_secret) {
+        on_secret(proposal);
+      };
+  return port;
+}
+
+void GatewayFixture::Configure(std::uint64_t version) {
+  FleetConfiguration configuration{.version = version};
+  configuration.routes = {MakeRoute("safe", true), MakeRoute("once", false),
+                          MakeRoute("bulk", true), MakeRoute("open", true)};
+  configuration.routes[2].is_bulk = true;
+  configuration.routes[3].is_public = true;
+  configuration.workspaces["shop"].key_digests = {SecretDigest("shop-key")};
+  this->operators.Append(std::move(configuration));
+}
+
+ScriptedServer& GatewayFixture::AddServer(const std::string& id,
+                                          ScriptedServer::Script script) {
+  this->scripted.push_back(
+      std::make_unique<ScriptedServer>(this->loop, std::move(script)));
+  this->ListServer(id, this->scripted.back()->address());
+  return *this->scripted.back();
+}
+
+void GatewayFixture::ListServer(const std::string& id,
+                                const std::string& address,
+                                bool is_draining) {
+  this->servers.Append(
+      {id, ServerListing{.service = "work",
+                         .address = address,
+                         .failure_domain = "x",
+                         .slots = 3,
+                         .is_draining = is_draining,
+                         .incarnation = 1,
+                         .sequence = this->next_sequence++}});
+}
+
+SimpleAnswer GatewayFixture::Send(const std::string& method,
+                                  const std::string& target,
+                                  HeaderList headers,
+                                  const std::string& body) {
+  CallRequest request;
+  request.method = method;
+  request.address = this->settings.request_address;
+  request.target = target;
+  request.headers = {{"Host", "a.example"},
+                     {"Request-Id", "r-1"},
+                     {"Request-Deadline", "1000"},
+                     {"Authorization", "Bearer shop-key"}};
+  for (Header& header : headers) {
+    std::erase_if(request.headers, [&](const Header& usual) {
+      return IsSameHeaderName(usual.name, header.name);
+    });
+    request.headers.push_back(std::move(header));
+  }
+  request.connection_use = ConnectionUse::kFresh;
+  std::optional<SimpleAnswer> answer;
+  this->caller.Fetch(request, body,
+                     [&](const SimpleAnswer& got) { answer = got; });
+  REQUIRE(this->Await([&] { return answer.has_value(); }));
+  return *answer;
+}
+
+SimpleAnswer GatewayFixture::Ask(const std::string& address,
+                                 const std::string& target) {
+  std::optional<SimpleAnswer> answer;
+  this->caller.Fetch({.address = address, .target = target}, "",
+                     [&](const SimpleAnswer& got) { answer = got; });
+  REQUIRE(this->Await([&] { return answer.has_value(); }));
+  return *answer;
+}
+
+bool GatewayFixture::Await(const std::function<bool()>& condition,
+                           Duration patience) {
+  bool is_over = false;
+  Timer limit(this->loop, [&] { is_over = true; });
+  limit.StartOnce(patience);
+  while (!condition() && !is_over) {
+    this->loop.RunOnce();
+  }
+  return condition();
+}
+
+void GatewayFixture::RunFor(Duration duration) {
+  this->Await([] { return false; }, duration);
+}
+
+bool GatewayFixture::AwaitReady() {
+  return this->Await([&] {
+    return this->Ask(this->settings.readiness_address, "/api/ready").status ==
+           200;
+  });
+}
+
+std::string AnswerWith(const RawRequest& request,
+                       const std::string& status,
+                       const std::string& more_headers,
+                       const std::string& body) {
+  return "HTTP/1.1 " + status +
+         "\r\nRequest-Id: " + RawHeader(request.head, "Request-Id") +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+         more_headers + "\r\n" + body;
+}
+
+std::string GoodAnswer(const RawRequest& request, const std::string& body) {
+  return AnswerWith(request, "200 OK", "Response-Signature: sig\r\n", body);
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/tests/support/scripted_server.cc
@@ -0,0 +1,164 @@
+#include "support/scripted_server.h"
+
+#include <netinet/in.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+
+namespace parsleyquay {
+
+namespace {
+
+constexpr char kHeadEnd[] = "\r\n\r\n";
+constexpr char kLastChunk[] = "0\r\n\r\n";
+
+int ListenOnLoopback(std::string& address) {
+  const int listener =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in name = {};
+  name.sin_family = AF_INET;
+  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(listener, reinterpret_cast<const sockaddr*>(&name), sizeof(name));
+  listen(listener, SOMAXCONN);
+  socklen_t size = sizeof(name);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&name), &size);
+  address = "127.0.0.1:" + std::to_string(ntohs(name.sin_port));
+  return listener;
+}
+
+}  // namespace
+
+std::string RawHeader(const std::string& head, const std::string& name) {
+  std::size_t begin = head.find("\r\n");
+  while (begin != std::string::npos) {
+    begin += 2;
+    const std::size_t end = head.find("\r\n", begin);
+    const std::string line = head.substr(begin, end - begin);
+    const std::size_t colon = line.find(':');
+    if (colon == name.size() &&
+        strncasecmp(line.data(), name.data(), colon) == 0) {
+      return line.substr(line.find_first_not_of(' ', colon + 1));
+    }
+    begin = end;
+  }
+  return "";
+}
+
+std::string FreeAddress() {
+  std::string address;
+  close(ListenOnLoopback(address));
+  return address;
+}
+
+ScriptedServer::ScriptedServer(EventLoop& loop, Script script)
+    : loop(loop),
+      script(std::move(script)),
+      listener(ListenOnLoopback(this->own_address)),
+      watcher(loop, [this](int) { this->Accept(); }) {
+  this->watcher.Start(this->listener, EV_READ);
+}
+
+ScriptedServer::~ScriptedServer() {
+  this->watcher.Stop();
+  close(this->listener);
+  for (auto& [descriptor, connection] : this->open) {
+    connection.watcher->Stop();
+    close(descriptor);
+  }
+}
+
+void ScriptedServer::Accept() {
+  const int descriptor = accept4(this->listener, nullptr, nullptr,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (descriptor < 0) {
+    return;
+  }
+  ++this->accepted;
+  Connection& connection = this->open[descriptor];
+  connection.watcher = std::make_unique<IoWatcher>(
+      this->loop, [this, descriptor](int) { this->Read(descriptor); });
+  connection.watcher->Start(descriptor, EV_READ);
+}
+
+void ScriptedServer::Read(int descriptor) {
+  this->retired.clear();
+  std::array<char, 65536> buffer;
+  const ssize_t size = recv(descriptor, buffer.data(), buffer.size(), 0);
+  if (size <= 0) {
+    this->End(descriptor, ConnectionEnd::kClose);
+    return;
+  }
+  Connection& connection = this->open[descriptor];
+  connection.incoming.append(buffer.data(), static_cast<std::size_t>(size));
+  while (this->TakeRequest(descriptor, connection)) {
+  }
+}
+
+// Takes one whole request out of what came in; returns whether another may
+// follow.
+bool ScriptedServer::TakeRequest(int descriptor, Connection& connection) {
+  const std::size_t head_end = connection.incoming.find(kHeadEnd);
+  if (head_end == std::string::npos) {
+    return false;
+  }
+  const std::string head = connection.incoming.substr(0, head_end);
+  const std::size_t body_begin = head_end + 4;
+  std::size_t body_end = body_begin;
+  if (this->is_early && !connection.is_answered_early) {
+    connection.is_answered_early = true;
+    return this->Answer(descriptor, {head, ""});
+  }
+  if (!RawHeader(head, "Transfer-Encoding").empty()) {
+    const std::size_t last = connection.incoming.find(kLastChunk, body_begin);
+    if (last == std::string::npos) {
+      return false;
+    }
+    body_end = last + 5;
+  } else {
+    body_end += std::strtoul(RawHeader(head, "Content-Length").c_str(), nullptr,
+                             10);
+  }
+  if (connection.incoming.size() < body_end) {
+    return false;
+  }
+  const RawRequest request{
+      head, connection.incoming.substr(body_begin, body_end - body_begin)};
+  connection.incoming.erase(0, body_end);
+  return this->Answer(descriptor, request);
+}
+
+bool ScriptedServer::Answer(int descriptor, const RawRequest& request) {
+  this->seen.push_back(request);
+  const RawAnswer answer = this->script(request);
+  std::size_t sent = 0;
+  while (sent < answer.bytes.size()) {
+    const ssize_t step = send(descriptor, answer.bytes.data() + sent,
+                              answer.bytes.size() - sent, MSG_NOSIGNAL);
+    if (step <= 0 && errno != EAGAIN) {
+      break;
+    }
+    sent += step > 0 ? static_cast<std::size_t>(step) : 0;
+  }
+  if (answer.end == ConnectionEnd::kKeep) {
+    return true;
+  }
+  this->End(descriptor, answer.end);
+  return false;
+}
+
+void ScriptedServer::End(int descriptor, ConnectionEnd end) {
+  if (end == ConnectionEnd::kReset) {
+    const linger at_once = {1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  }
+  auto node = this->open.extract(descriptor);
+  node.mapped().watcher->Stop();
+  // The watcher may be the one whose action is running.
+  this->retired.push_back(std::move(node.mapped().watcher));
+  close(descriptor);
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,84 @@
+#ifndef PARSLEYQUAY_TESTS_SUPPORT_SCRIPTED_SERVER_H_
+#define PARSLEYQUAY_TESTS_SUPPORT_SCRIPTED_SERVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "event/event_loop.h"
+#include "event/io_watcher.h"
+
+namespace parsleyquay {
+
+// A request as its bytes came in.
+struct RawRequest {
+  std::string head;  // request line and headers, without the empty line
+  std::string body;  // as on the wire: chunks are not taken apart
+};
+
+// The value of a header of a raw head, "" when it is absent.
+std::string RawHeader(const std::string& head, const std::string& name);
+
+// What a scripted server does with its connection after an answer.
+enum class ConnectionEnd { kKeep, kClose, kReset };
+
+// What it sends, byte for byte.
+struct RawAnswer {
+  std::string bytes;
+  ConnectionEnd end = ConnectionEnd::kKeep;
+};
+
+// A TCP server on loopback that answers each request with the bytes of a
+// script, proper or not.
+class ScriptedServer {
+ public:
+  using Script = std::function<RawAnswer(const RawRequest&)>;
+
+  ScriptedServer(EventLoop& loop, Script script);
+  ~ScriptedServer();
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  const std::string& address() const { return this->own_address; }
+  const std::vector<RawRequest>& requests() const { return this->seen; }
+  int connections() const { return this->accepted; }
+  int open_connections() const {
+    return static_cast<int>(this->open.size());
+  }
+  void SetScript(Script new_script) { this->script = std::move(new_script); }
+  // Answers with the head alone, before the body has come.
+  void AnswerBeforeBody() { this->is_early = true; }
+
+ private:
+  struct Connection {
+    std::string incoming;
+    std::unique_ptr<IoWatcher> watcher;
+    bool is_answered_early = false;
+  };
+
+  void Accept();
+  void Read(int descriptor);
+  bool TakeRequest(int descriptor, Connection& connection);
+  bool Answer(int descriptor, const RawRequest& request);
+  void End(int descriptor, ConnectionEnd end);
+
+  EventLoop& loop;
+  Script script;
+  std::string own_address;
+  int listener = -1;
+  IoWatcher watcher;
+  std::map<int, Connection> open;
+  std::vector<std::unique_ptr<IoWatcher>> retired;
+  std::vector<RawRequest> seen;
+  int accepted = 0;
+  bool is_early = false;
+};
+
+// A loopback address on which nothing listens now.
+std::string FreeAddress();
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_TESTS_SUPPORT_SCRIPTED_SERVER_H_
