placement, allowance: Expect queues by Little's law; wait a little for a home

The wait is now expected by the requests of all instances (Sakasegawa), the reported load only adds to it. Refusals after a power loss and behind a cut all came from the spare share while no home was known: a request now waits up to 0.7 s for one.

--- a/libraries/gateway/allowance_desk.cc
+++ b/libraries/gateway/allowance_desk.cc
@@ -27,7 +27,11 @@
 constexpr Duration kAskTimeout = milliseconds(70);
 constexpr int kMostSendings = 2;
 
-constexpr Duration kSpareRetryAfter = milliseconds(800);
+// How soon a home is looked for again.
+constexpr Duration kHomeRetry = milliseconds(100);
+
+// Soon: another instance may have a home in reach, or something left.
+constexpr Duration kSpareRetryAfter = milliseconds(200);
 
 enum GrantCode { kDenied, kGranted, kNotHome };
 
@@ -56,6 +60,7 @@
 
 void AllowanceDesk::Ask(const std::string& workspace,
                         Duration patience,
+                        Duration home_patience,
                         OnVerdict on_verdict) {
   if (!this->TermsOf(workspace).has_limit()) {
     on_verdict({true, AllowanceSource::kNoLimit});
@@ -66,15 +71,12 @@
     this->AnswerFromOwnHome(workspace, patience, std::move(on_verdict));
     return;
   }
-  if (!this->context.peers || !this->HomeAddressOf(duty)) {
-    on_verdict(this->TakeSpareRequest(workspace));
-    return;
-  }
   const std::uint64_t id = this->next_ask++;
   PendingAsk& ask = this->pending[id];
   ask.workspace = workspace;
   ask.patience = patience;
   ask.on_verdict = std::move(on_verdict);
+  ask.give_up_at = this->context.Now() + home_patience;
   this->SendAsk(id);
 }
 
@@ -225,8 +227,8 @@
 void AllowanceDesk::SendAsk(std::uint64_t id) {
   PendingAsk& ask = this->pending.at(id);
   const auto address = this->HomeAddressOf(this->DutyOf(ask.workspace));
-  if (!address) {
-    this->Settle(id, this->TakeSpareRequest(ask.workspace));
+  if (!this->context.peers || !address) {
+    this->OnNoHome(id);
     return;
   }
   ++ask.sendings;
@@ -251,7 +253,35 @@
     return;
   }
   Count(this->context.metrics, "allowance_asks_unanswered");
-  this->Settle(id, this->TakeSpareRequest(found->second.workspace));
+  this->OnNoHome(id);
+}
+
+// Spends of the own share; where nothing is left of it, waits a little for a
+// home, such as after a restart of all instances.
+void AllowanceDesk::OnNoHome(std::uint64_t id) {
+  PendingAsk& ask = this->pending.at(id);
+  const AllowanceVerdict verdict = this->TakeSpareRequest(ask.workspace);
+  if (verdict.is_granted || this->context.Now() >= ask.give_up_at) {
+    this->Settle(id, verdict);
+    return;
+  }
+  ask.sendings = 0;
+  ask.timer = std::make_unique<Timer>(this->context.loop,
+                                      [this, id] { this->AskAgain(id); });
+  ask.timer->StartOnce(kHomeRetry);
+}
+
+void AllowanceDesk::AskAgain(std::uint64_t id) {
+  PendingAsk& ask = this->pending.at(id);
+  if (!this->IsHeld(this->DutyOf(ask.workspace))) {
+    this->SendAsk(id);
+    return;
+  }
+  const std::string workspace = ask.workspace;
+  const Duration patience = ask.patience;
+  OnVerdict on_verdict = std::move(ask.on_verdict);
+  this->pending.erase(id);
+  this->AnswerFromOwnHome(workspace, patience, std::move(on_verdict));
 }
 
 void AllowanceDesk::OnAsk(const Json::Value& parameters) {
@@ -285,7 +315,7 @@
       this->GrantAfter(id, delay, AllowanceSource::kPeerHome);
       return;
     case kNotHome:
-      this->Settle(id, this->TakeSpareRequest(found->second.workspace));
+      this->OnNoHome(id);
       return;
     default:
       this->Settle(id, {false, AllowanceSource::kPeerHome, delay});
--- a/libraries/gateway/allowance_desk.h
+++ b/libraries/gateway/allowance_desk.h
@@ -48,9 +48,13 @@
   // The methods of its messages.
   static std::vector<std::string> Methods();
 
-  // Asks for one request; a request without a token may wait up to `patience`.
+  // Asks for one request; a request without a token may wait up to `patience`,
+  // and one whose workspace has no home in reach up to `home_patience` for one.
   // The verdict may come before the function returns.
-  void Ask(const std::string& workspace, Duration patience, OnVerdict on_verdict);
+  void Ask(const std::string& workspace,
+           Duration patience,
+           Duration home_patience,
+           OnVerdict on_verdict);
 
   void OnMessage(const std::string& method, const Json::Value& parameters);
 
@@ -72,6 +76,7 @@
     Duration patience = Duration(0);
     OnVerdict on_verdict;
     int sendings = 0;
+    TimePoint give_up_at;  // when no home was found until then
     std::unique_ptr<Timer> timer;
   };
 
@@ -87,6 +92,8 @@
                          Duration patience,
                          OnVerdict on_verdict);
   void SendAsk(std::uint64_t id);
+  void OnNoHome(std::uint64_t id);
+  void AskAgain(std::uint64_t id);
   void OnAskTimeout(std::uint64_t id);
   void OnAsk(const Json::Value& parameters);
   void OnGrant(const Json::Value& parameters);
--- a/libraries/gateway/configuration_desk.cc
+++ b/libraries/gateway/configuration_desk.cc
@@ -15,7 +15,7 @@
                                       .timeout = milliseconds(400)};
 
 // The others hear of a change from their peers as well; each read costs.
-constexpr FollowPlan kPatientPlan = {.wait = seconds(20),
+constexpr FollowPlan kPatientPlan = {.wait = seconds(28),
                                      .interval = milliseconds(20),
                                      .timeout = seconds(1)};
 
--- a/libraries/gateway/configuration_desk.h
+++ b/libraries/gateway/configuration_desk.h
@@ -33,6 +33,7 @@
   // to the store has gone silent. For those on whom others rely.
   void SetWatchful(bool is_watchful);
 
+  bool is_available() const { return this->follower.is_available(); }
   std::uint64_t position() const {
     return this->follower.position().value_or(0);
   }
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -151,6 +151,16 @@
          !this->context.is_leaving;
 }
 
+// Whether this instance has lost the store and hears fewer than half of the
+// members: then others know better which instances a caller can use.
+bool Gateway::is_isolated() const {
+  const bool is_minority = CountAlive(this->context.members,
+                                      this->context.Now()) * 2 <
+                           this->context.member_count();
+  return is_minority && !this->list.is_available() &&
+         !this->configuration.is_available();
+}
+
 void Gateway::OnReadinessQuestion(ServerExchange& exchange) {
   if (!this->context.dialect.is_readiness_question(exchange.target())) {
     exchange.Respond(kNotFoundStatus, {}, "");
@@ -171,7 +181,7 @@
       this->context.settings.bounds.address_lifetime, this->context.random(),
       this->context.Now());
   Count(this->context.metrics, "address_answers");
-  if (answer.addresses.empty()) {
+  if (answer.addresses.empty() || this->is_isolated()) {
     exchange.Respond(kUnavailableStatus, {}, "");
     return;
   }
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -52,6 +52,7 @@
   void OnRole(const MeshRole& role);
   void CheckFinished();
   bool is_ready() const;
+  bool is_isolated() const;
 
   GatewayContext context;
   MeshAgent mesh;
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -29,14 +29,13 @@
 constexpr Duration kSecretRetry = milliseconds(700);
 constexpr std::size_t kSecretBytes = 32;
 
-// At start all instances write their records at about the same time. Later,
-// members are heard of by heartbeats; their records are read only in case that
-// a whole failure domain has been out of hearing.
-constexpr FollowPlan kMemberPlanAtStart = {.interval = milliseconds(1'200),
-                                           .timeout = milliseconds(700)};
+// At start all instances write their records within about a second, so they
+// are read once more after that. Later, members are heard of by heartbeats;
+// their records are read only in case that a whole failure domain has been out
+// of hearing.
 constexpr FollowPlan kMemberPlan = {.interval = seconds(60),
                                     .timeout = milliseconds(700)};
-constexpr Duration kStartTime = seconds(4);
+constexpr Duration kStartTime = milliseconds(1'200);
 
 std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
   methods.insert(methods.end(), {kHeartbeat, kOutcome, kUnserved, kDigest});
@@ -54,7 +53,7 @@
       follower(context.loop,
                "members",
                context.port.members,
-               kMemberPlanAtStart,
+               kMemberPlan,
                {.on_changes =
                     [this](const std::vector<MemberChange>& changes,
                            ChangeSet) { this->OnMemberChanges(changes); }}),
@@ -281,8 +280,9 @@
 void MeshAgent::OnTick() {
   const TimePoint now = this->context.Now();
   NoteStatus(this->context.members, this->OwnStatus(), Duration(0), now);
-  if (now - this->started_at > kStartTime) {
-    this->follower.SetPlan(kMemberPlan);
+  if (!this->has_read_again && now - this->started_at > kStartTime) {
+    this->has_read_again = true;
+    this->follower.ReadNow();
   }
   const bool is_first_silent =
       !this->aggregators.empty() &&
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -97,6 +97,7 @@
   Timer urgent_timer;
   Timer retry_timer;
   TimePoint started_at;
+  bool has_read_again = false;
   MeshRole current_role;
   std::vector<std::string> aggregators;  // of the own failure domain, in order
   TimePoint first_since;                 // when the first of them became so
--- a/libraries/gateway/request_flow.cc
+++ b/libraries/gateway/request_flow.cc
@@ -19,6 +19,9 @@
 // How long a request may wait for its allowance: a small part of its time.
 constexpr Duration kLongestAllowanceWait = milliseconds(300);
 constexpr int kAllowanceWaitDivisor = 8;
+// How long it may wait for somebody who can tell: a third of its time.
+constexpr Duration kLongestHomeWait = milliseconds(700);
+constexpr int kHomeWaitDivisor = 3;
 
 // When nothing is known of when a server has room again.
 constexpr Duration kUsualRetryAfter = milliseconds(400);
@@ -163,7 +166,9 @@
   const Duration patience = std::min(
       kLongestAllowanceWait, this->time_left() / kAllowanceWaitDivisor);
   const std::weak_ptr<RequestFlow> weak = this->self;
-  this->parts.allowances.Ask(this->workspace, patience,
+  const Duration home_patience =
+      std::min(kLongestHomeWait, this->time_left() / kHomeWaitDivisor);
+  this->parts.allowances.Ask(this->workspace, patience, home_patience,
                              [weak](const AllowanceVerdict& verdict) {
                                if (const auto flow = weak.lock()) {
                                  flow->OnAllowance(verdict);
--- a/libraries/gateway/server_desk.cc
+++ b/libraries/gateway/server_desk.cc
@@ -119,7 +119,8 @@
   if (!outcome) {
     return;
   }
-  if (*outcome == Outcome::kServed) {
+  const bool has_waited = !load || load->waiting > 0;
+  if (*outcome == Outcome::kServed && !has_waited) {
     this->NoteWork(lease);
   }
   this->NotePath(use, *outcome);
@@ -154,6 +155,9 @@
     }
     // Good outcomes first: of a mixed summary the doubt is to remain.
     for (const auto& [outcome, count] : summary.counts) {
+      if (outcome == Outcome::kServed || outcome == Outcome::kOverdue) {
+        CountEvents(use.rate, static_cast<double>(count), now);
+      }
       if (outcome == Outcome::kServed) {
         CountEvents(this->served_rates[listed->second.listing.service],
                     static_cast<double>(count), now);
@@ -190,6 +194,7 @@
   const ServerUse& use = this->UseOf(server);
   return {.failure_probability = this->FailureShare(use),
           .load = this->CurrentLoad(use),
+          .busy_share = this->BusyShare(use, entry),
           .slots = std::max(1L, entry.listing.slots),
           .is_cold = this->context.Now() < entry.cold_until,
           .is_near = entry.listing.failure_domain ==
@@ -204,6 +209,15 @@
          static_cast<double>(std::min(use.in_flight, use.sent_since_report));
 }
 
+// By Little's law: as many slots are busy as requests come in the time that one
+// takes.
+double ServerDesk::BusyShare(const ServerUse& use,
+                             const RosterEntry& entry) const {
+  const double busy = RateAt(use.rate, this->context.Now()) *
+                      SecondsOf(this->UsualWork(entry.listing.service));
+  return busy / static_cast<double>(std::max(1L, entry.listing.slots));
+}
+
 double ServerDesk::FailureShare(const ServerUse& use) const {
   const TimePoint now = this->context.Now();
   const double pooled =
--- a/libraries/gateway/server_desk.h
+++ b/libraries/gateway/server_desk.h
@@ -78,7 +78,7 @@
   // Forgets what was seen in an earlier life of the server.
   void Forget(const std::string& server);
 
-  // What a request of the service usually takes.
+  // What a request of the service usually takes, without waiting.
   Duration UsualWork(const std::string& service) const;
 
  private:
@@ -92,6 +92,7 @@
     TimePoint reported_at;
     long in_flight = 0;
     long sent_since_report = 0;
+    RateMeter rate;     // of requests by all instances
     TimePoint used_at;  // when any instance last saw an outcome, or took it
     TimePoint misdirected_until;
   };
@@ -100,6 +101,7 @@
   PlacementCandidate ToCandidate(const std::string& server,
                                  const ServerWish& wish);
   double CurrentLoad(const ServerUse& use) const;
+  double BusyShare(const ServerUse& use, const RosterEntry& entry) const;
   double FailureShare(const ServerUse& use) const;
   bool IsPermitted(const std::string& server,
                    const RosterEntry& entry,
--- a/libraries/gateway/server_list.cc
+++ b/libraries/gateway/server_list.cc
@@ -14,7 +14,7 @@
                                     .timeout = milliseconds(700)};
 
 // In case that a peer passes on too little; each read costs.
-constexpr FollowPlan kFollowerPlan = {.interval = seconds(15),
+constexpr FollowPlan kFollowerPlan = {.interval = seconds(40),
                                       .timeout = milliseconds(700)};
 
 }  // namespace
--- a/libraries/gateway/server_list.h
+++ b/libraries/gateway/server_list.h
@@ -42,6 +42,7 @@
   void FillDigest(Digest& digest);
 
   const ServerRoster& roster() const { return this->servers; }
+  bool is_available() const { return this->follower.is_available(); }
   bool has_been_read() const { return this->follower.position().has_value(); }
 
   // The names of a service's servers, whatever their state.
--- a/libraries/placement/placement.cc
+++ b/libraries/placement/placement.cc
@@ -26,23 +26,37 @@
 // e times less often.
 constexpr double kTemperatureMilliseconds = 100;
 
+// Beyond this the formula for the usual wait grows without bound.
+constexpr double kMostBusyShare = 0.97;
+
 double ToDoubleMilliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-double ExpectedWait(const PlacementCandidate& candidate,
+// The usual wait in a queue before several slots (Sakasegawa, 1977, formula
+// 2.1, for exponential work).
+double UsualWait(const PlacementCandidate& candidate,
+                 const PlacementNeed& need) {
+  const double slots = static_cast<double>(candidate.slots);
+  const double share = std::min(candidate.busy_share, kMostBusyShare);
+  return ToDoubleMilliseconds(need.usual_work) *
+         std::pow(share, std::sqrt(2 * (slots + 1)) - 1) /
+         (slots * (1 - share));
+}
+
+// The wait by what the server last said of its load. That is a little old, and
+// others see the same: by itself it would draw all instances to one server
+// after the other.
+double ReportedWait(const PlacementCandidate& candidate,
                     const PlacementNeed& need) {
   const double slots = static_cast<double>(candidate.slots);
   const double ahead = std::max(0., candidate.load + 1 - slots);
   return ahead / slots * ToDoubleMilliseconds(need.usual_work);
 }
 
-// Even below its slots a busy server is more likely to make a request wait,
-// since what is known of its load is a little old.
-double BusyPenalty(const PlacementCandidate& candidate,
-                   const PlacementNeed& need) {
-  const double share = candidate.load / static_cast<double>(candidate.slots);
-  return share * share * ToDoubleMilliseconds(need.usual_work) / 2;
+double ExpectedWait(const PlacementCandidate& candidate,
+                    const PlacementNeed& need) {
+  return std::max(UsualWait(candidate, need), ReportedWait(candidate, need));
 }
 
 double ExpectedWork(const PlacementCandidate& candidate,
@@ -60,8 +74,7 @@
   const double way = candidate.is_near ? 0
                      : need.is_bulk    ? kFarBulkMilliseconds
                                        : kFarMilliseconds;
-  return ExpectedWait(candidate, need) + BusyPenalty(candidate, need) +
-         ExpectedWork(candidate, need) + way +
+  return ExpectedWait(candidate, need) + ExpectedWork(candidate, need) + way +
          candidate.failure_probability * failure;
 }
 
--- a/libraries/placement/placement.h
+++ b/libraries/placement/placement.h
@@ -14,6 +14,8 @@
 struct PlacementCandidate {
   double failure_probability = 0;
   double load = 0;  // requests it holds, running or waiting
+  // Of its slots, those that the requests of the last seconds have kept busy.
+  double busy_share = 0;
   long slots = 1;
   bool is_cold = false;
   bool is_near = true;      // in the instance's own failure domain
--- a/tests/placement/placement_test.cc
+++ b/tests/placement/placement_test.cc
@@ -44,6 +44,14 @@
   CHECK(counts[1] > counts[0]);
 }
 
+TEST_CASE("a burst: requests spread before the servers report their load") {
+  // All look free by their last report, but one was sent most of the requests.
+  PlacementCandidate busy = Server(kGood);
+  busy.busy_share = 0.9;
+  const auto counts = CountDraws({busy, Server(kGood)}, {});
+  CHECK(counts[0] * 5 < counts[1]);
+}
+
 TEST_CASE("a server that cannot be done in time is not chosen") {
   const PlacementNeed need{.usual_work = milliseconds(300),
                            .time_left = milliseconds(400)};
