--- a/libraries/gateway/request_attempt.cc
+++ b/libraries/gateway/request_attempt.cc
@@ -20,7 +20,7 @@
 
 // Machines answer the opening of a connection within a few milliseconds. What
 // is not answered was not sent, so another server can be tried.
-constexpr Duration kConnectTimeout = milliseconds(350);
+constexpr Duration kConnectTimeout = milliseconds(200);
 
 // An attempt that took this many times the usual work and got no answer is
 // held against the server; a shorter one was only cut by its time limit.
@@ -30,6 +30,9 @@
 // tried besides those that were.
 constexpr std::size_t kMostTried = 5;
 
+// A server that sheds has room again when one of its requests is done.
+constexpr Duration kShedRetryAfter = milliseconds(100);
+
 constexpr int kMisdirectedStatus = 421;
 constexpr int kGatewayTimeoutStatus = 504;
 constexpr int kFirstServerError = 500;
@@ -329,8 +332,7 @@
     case NextStep::kRefuseNotRun:
       this->Refuse(this->may_have_run
                        ? Refusal{RefusalReason::kServerFailed}
-                       : Refusal{RefusalReason::kNotRun,
-                                 this->parts.servers.UsualWork(this->service)});
+                       : Refusal{RefusalReason::kNotRun, kShedRetryAfter});
       return;
     case NextStep::kAnswerUnknown:
     case NextStep::kAnswerFailed:
--- a/libraries/gateway/server_desk.cc
+++ b/libraries/gateway/server_desk.cc
@@ -16,10 +16,11 @@
 // A reported load halves in about the time of one request.
 constexpr double kLoadFadeSeconds = 0.4;
 
-// A path that failed once is tried again after some seconds.
-constexpr double kUnreachablePathFault = 0.85;
+// Partitions last for several seconds, and each trial of a path that is cut
+// costs a request the time to connect.
+constexpr double kUnreachablePathFault = 0.9;
 constexpr double kBrokenPathFault = 0.3;
-constexpr double kPathFadeSeconds = 3;
+constexpr double kPathFadeSeconds = 6;
 
 // Until the list names the server's new address, or that it is gone.
 constexpr Duration kMisdirectedPause = seconds(1);
