--- a/libraries/placement/placement.cc
+++ b/libraries/placement/placement.cc
@@ -11,8 +11,8 @@
 
 // A failure that cannot be made good is worth a caller's whole patience; one
 // that can costs the time of another attempt.
-constexpr double kFinalFailureMilliseconds = 4'000;
-constexpr double kRepeatedFailureMilliseconds = 900;
+constexpr double kFinalFailureMilliseconds = 2'500;
+constexpr double kRepeatedFailureMilliseconds = 500;
 
 // A server that has just started takes about twice the usual time.
 constexpr double kColdFactor = 2;
