--- a/libraries/allowance/spare_share.cc
+++ b/libraries/allowance/spare_share.cc
@@ -24,7 +24,10 @@
   return WholeShare(spare, rank, instances);
 }
 
-bool TakeSpare(SlidingWindow& used, long share, Duration window, TimePoint now) {
+bool TakeSpare(SlidingWindow& used,
+               long share,
+               Duration window,
+               TimePoint now) {
   return TakeFromWindow(used, share, window + kArrivalJitter, now);
 }
 
--- a/libraries/belief/server_belief.cc
+++ b/libraries/belief/server_belief.cc
@@ -53,11 +53,10 @@
   const double cycle = SecondsOf(model.mean_cycle);
   const double begin_rate = 1 / (cycle * (1 - model.spell_share));
   const double end_rate = 1 / (cycle * model.spell_share);
-  const double kept = std::exp(-(begin_rate + end_rate) *
-                               SecondsOf(now - belief.updated_at));
+  const double kept =
+      std::exp(-(begin_rate + end_rate) * SecondsOf(now - belief.updated_at));
   belief.spell_probability =
-      model.spell_share +
-      (belief.spell_probability - model.spell_share) * kept;
+      model.spell_share + (belief.spell_probability - model.spell_share) * kept;
   belief.updated_at = now;
   return belief;
 }
--- a/libraries/coordination/feed_follower.h
+++ b/libraries/coordination/feed_follower.h
@@ -88,7 +88,9 @@
 
   // Takes over changes that another instance has read between two positions.
   // Returns false when something before them is missing here.
-  bool Adopt(std::uint64_t from, std::uint64_t to, std::vector<Change> changes) {
+  bool Adopt(std::uint64_t from,
+             std::uint64_t to,
+             std::vector<Change> changes) {
     if (!this->next_position || *this->next_position < from) {
       return false;
     }
--- a/libraries/gateway/address_desk.cc
+++ b/libraries/gateway/address_desk.cc
@@ -19,10 +19,10 @@
 }  // namespace
 
 AddressAnswer ChooseNearAddresses(const MemberTable& members,
-                              const std::string& failure_domain,
-                              Duration lifetime,
-                              std::uint64_t random,
-                              TimePoint now) {
+                                  const std::string& failure_domain,
+                                  Duration lifetime,
+                                  std::uint64_t random,
+                                  TimePoint now) {
   std::vector<std::string> near;
   std::vector<std::string> all;
   for (const auto& [name, entry] : members.members) {
--- a/libraries/gateway/allowance_desk.cc
+++ b/libraries/gateway/allowance_desk.cc
@@ -18,8 +18,11 @@
 // How long duties are held without being renewed. Longer than most outages of
 // the store, shorter than callers bear to do without their home.
 constexpr Duration kDutyLifetime = seconds(5);
-constexpr Duration kRenewInterval = milliseconds(1'200);
+constexpr Duration kRenewInterval = milliseconds(600);
 constexpr Duration kRenewSoon = milliseconds(40);
+// Until then a started process has read who the other members are; before, each
+// takes itself for the first.
+constexpr Duration kSettleTime = milliseconds(600);
 // A holder stops that long before others may begin.
 constexpr Duration kDutyMargin = milliseconds(200);
 
@@ -51,8 +54,27 @@
   return "unknown";
 }
 
-AllowanceDesk::AllowanceDesk(GatewayContext& context)
-    : context(context), renew_timer(context.loop, [this] { this->Renew(); }) {}
+AllowanceDesk::AllowanceDesk(GatewayContext& context,
+                             std::function<void()> on_duties)
+    : context(context),
+      on_duties(std::move(on_duties)),
+      renew_timer(context.loop, [this] { this->Renew(); }),
+      settle_timer(context.loop, [this] { this->Settle(); }) {}
+
+void AllowanceDesk::Start() {
+  this->settle_timer.StartOnce(kSettleTime);
+}
+
+// Duties that an earlier life of this process held are given back unless this
+// one takes them up: nobody else could, until they lapse.
+void AllowanceDesk::Settle() {
+  this->is_settled = true;
+  if (this->is_eligible) {
+    this->Renew();
+    return;
+  }
+  this->context.port.duties.leave(this->context.settings.name, [] {});
+}
 
 std::vector<std::string> AllowanceDesk::Methods() {
   return {kAsk, kGrant};
@@ -94,6 +116,9 @@
     return;
   }
   this->is_eligible = eligible;
+  if (!this->is_settled) {
+    return;
+  }
   if (eligible) {
     this->Renew();
     return;
@@ -118,6 +143,7 @@
 
 void AllowanceDesk::Leave() {
   this->renew_timer.Stop();
+  this->settle_timer.Stop();
   this->is_eligible = false;
   if (!this->assignment.duties.empty()) {
     LogEvent(LogLevel::kInfo, "duties_handed_back",
@@ -159,6 +185,9 @@
   if (this->context.routing) {
     this->OnConfiguration();
   }
+  if (this->HeldDuties() != held) {
+    this->on_duties();
+  }
   if (is_regrouped) {
     LogEvent(LogLevel::kInfo, "duties_dealt",
              {{"generation", std::to_string(this->assignment.generation)},
@@ -202,9 +231,8 @@
       this->TermsOf(workspace), tolerance,
       RankOfMember(this->context.members, this->context.settings.name),
       this->context.member_count());
-  const bool is_taken =
-      TakeSpare(this->spare_uses[workspace], share, tolerance.window,
-                this->context.Now());
+  const bool is_taken = TakeSpare(this->spare_uses[workspace], share,
+                                  tolerance.window, this->context.Now());
   return {is_taken, AllowanceSource::kSpare, kSpareRetryAfter};
 }
 
@@ -215,8 +243,8 @@
       TakeToken(this->home, workspace, this->TermsOf(workspace), patience,
                 this->context.Now());
   if (!answer.is_granted || answer.retry_after <= Duration(0)) {
-    on_verdict({answer.is_granted, AllowanceSource::kOwnHome,
-                answer.retry_after});
+    on_verdict(
+        {answer.is_granted, AllowanceSource::kOwnHome, answer.retry_after});
     return;
   }
   const std::uint64_t id = this->next_ask++;
@@ -262,7 +290,7 @@
   PendingAsk& ask = this->pending.at(id);
   const AllowanceVerdict verdict = this->TakeSpareRequest(ask.workspace);
   if (verdict.is_granted || this->context.Now() >= ask.give_up_at) {
-    this->Settle(id, verdict);
+    this->Answer(id, verdict);
     return;
   }
   ask.sendings = 0;
@@ -318,7 +346,7 @@
       this->OnNoHome(id);
       return;
     default:
-      this->Settle(id, {false, AllowanceSource::kPeerHome, delay});
+      this->Answer(id, {false, AllowanceSource::kPeerHome, delay});
   }
 }
 
@@ -326,18 +354,17 @@
                                Duration delay,
                                AllowanceSource source) {
   if (delay <= Duration(0)) {
-    this->Settle(id, {true, source});
+    this->Answer(id, {true, source});
     return;
   }
   PendingAsk& ask = this->pending.at(id);
-  ask.timer =
-      std::make_unique<Timer>(this->context.loop, [this, id, source] {
-        this->Settle(id, {true, source});
-      });
+  ask.timer = std::make_unique<Timer>(this->context.loop, [this, id, source] {
+    this->Answer(id, {true, source});
+  });
   ask.timer->StartOnce(delay);
 }
 
-void AllowanceDesk::Settle(std::uint64_t id, const AllowanceVerdict& verdict) {
+void AllowanceDesk::Answer(std::uint64_t id, const AllowanceVerdict& verdict) {
   const auto found = this->pending.find(id);
   // The timer may be the one that is running; it ends with this turn.
   const OnVerdict on_verdict = std::move(found->second.on_verdict);
--- a/libraries/gateway/allowance_desk.h
+++ b/libraries/gateway/allowance_desk.h
@@ -43,7 +43,11 @@
  public:
   using OnVerdict = std::function<void(const AllowanceVerdict&)>;
 
-  explicit AllowanceDesk(GatewayContext& context);
+  // `on_duties` is called when the duties that are held have changed.
+  AllowanceDesk(GatewayContext& context, std::function<void()> on_duties);
+
+  // Takes up, or lays down, the duties once the other members are known.
+  void Start();
 
   // The methods of its messages.
   static std::vector<std::string> Methods();
@@ -80,6 +84,7 @@
     std::unique_ptr<Timer> timer;
   };
 
+  void Settle();
   void Renew();
   void OnAssignment(std::optional<DutyAssignment> assignment,
                     TimePoint sent_at,
@@ -97,12 +102,15 @@
   void OnAskTimeout(std::uint64_t id);
   void OnAsk(const Json::Value& parameters);
   void OnGrant(const Json::Value& parameters);
-  void Settle(std::uint64_t id, const AllowanceVerdict& verdict);
+  void Answer(std::uint64_t id, const AllowanceVerdict& verdict);
   void GrantAfter(std::uint64_t id, Duration delay, AllowanceSource source);
   const WorkspaceTerms& TermsOf(const std::string& workspace) const;
 
   GatewayContext& context;
+  std::function<void()> on_duties;
   Timer renew_timer;
+  Timer settle_timer;
+  bool is_settled = false;
   bool is_eligible = false;
   DutyAssignment assignment;
   TimePoint held_until;
--- a/libraries/gateway/configuration_desk.cc
+++ b/libraries/gateway/configuration_desk.cc
@@ -31,10 +31,10 @@
                "operators",
                context.port.operators,
                kPatientPlan,
-               {.on_changes =
-                    [this](std::vector<OperatorChange> changes, ChangeSet set) {
-                      this->OnChanges(std::move(changes), set);
-                    }}) {}
+               {.on_changes = [this](std::vector<OperatorChange> changes,
+                                     ChangeSet set) {
+                 this->OnChanges(std::move(changes), set);
+               }}) {}
 
 void ConfigurationDesk::OnPeerPosition(std::uint64_t position) {
   if (position > this->position()) {
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -44,15 +44,14 @@
       mesh(this->context, AllowanceDesk::Methods(), this->MakeMeshHandlers()),
       list(this->context,
            [this](const std::string& server) { this->servers.Forget(server); }),
-      servers(this->context,
-              this->list,
-              [this](const OutcomeReport& report) {
-                this->mesh.Report(report);
-              },
-              [this](const std::string& service) {
-                this->mesh.ReportUnserved(service);
-              }),
-      allowances(this->context),
+      servers(
+          this->context,
+          this->list,
+          [this](const OutcomeReport& report) { this->mesh.Report(report); },
+          [this](const std::string& service) {
+            this->mesh.ReportUnserved(service);
+          }),
+      allowances(this->context, [this] { this->mesh.Announce(); }),
       configuration(
           this->context,
           [this] { this->allowances.OnConfiguration(); },
@@ -69,9 +68,8 @@
                                                  GatewaySettings settings,
                                                  CoordinationPort port,
                                                  Dialect dialect) {
-  std::unique_ptr<Gateway> gateway(new Gateway(loop, http, std::move(settings),
-                                               std::move(port),
-                                               std::move(dialect)));
+  std::unique_ptr<Gateway> gateway(new Gateway(
+      loop, http, std::move(settings), std::move(port), std::move(dialect)));
   BOOST_LEAF_CHECK(gateway->Start());
   return gateway;
 }
@@ -113,6 +111,7 @@
   this->configuration.Start();
   this->list.Start();
   this->mesh.Start();
+  this->allowances.Start();
   this->flush_timer.StartRepeating(kLogFlushInterval);
   return {};
 }
@@ -154,9 +153,9 @@
 // Whether this instance has lost the store and hears fewer than half of the
 // members: then others know better which instances a caller can use.
 bool Gateway::is_isolated() const {
-  const bool is_minority = CountAlive(this->context.members,
-                                      this->context.Now()) * 2 <
-                           this->context.member_count();
+  const bool is_minority =
+      CountAlive(this->context.members, this->context.Now()) * 2 <
+      this->context.member_count();
   return is_minority && !this->list.is_available() &&
          !this->configuration.is_available();
 }
@@ -176,10 +175,10 @@
     exchange.Respond(kNotFoundStatus, {}, "");
     return;
   }
-  const AddressAnswer answer = ChooseNearAddresses(
-      this->context.members, question->failure_domain,
-      this->context.settings.bounds.address_lifetime, this->context.random(),
-      this->context.Now());
+  const AddressAnswer answer =
+      ChooseNearAddresses(this->context.members, question->failure_domain,
+                          this->context.settings.bounds.address_lifetime,
+                          this->context.random(), this->context.Now());
   Count(this->context.metrics, "address_answers");
   if (answer.addresses.empty() || this->is_isolated()) {
     exchange.Respond(kUnavailableStatus, {}, "");
@@ -242,9 +241,9 @@
   if (this->leaving_since) {
     return;
   }
-  LogEvent(LogLevel::kInfo, "leaving",
-           {{"active_requests",
-             std::to_string(this->context.active_requests)}});
+  LogEvent(
+      LogLevel::kInfo, "leaving",
+      {{"active_requests", std::to_string(this->context.active_requests)}});
   this->leaving_since = this->context.Now();
   this->context.is_leaving = true;
   this->request_server->CloseConnectionsAfterAnswers();
@@ -261,13 +260,13 @@
     this->has_stopped_listening = true;
     this->request_server->StopListening();
   }
-  const bool is_done =
-      this->has_stopped_listening && this->context.active_requests == 0 &&
-      this->request_server->open_exchanges() == 0;
+  const bool is_done = this->has_stopped_listening &&
+                       this->context.active_requests == 0 &&
+                       this->request_server->open_exchanges() == 0;
   if (is_done || passed >= ShareOf(grace, kFinishShare)) {
-    LogEvent(LogLevel::kInfo, "stop",
-             {{"active_requests",
-               std::to_string(this->context.active_requests)}});
+    LogEvent(
+        LogLevel::kInfo, "stop",
+        {{"active_requests", std::to_string(this->context.active_requests)}});
     FlushEventLog();
     this->context.loop.Stop();
   }
--- a/libraries/gateway/gateway_metrics.cc
+++ b/libraries/gateway/gateway_metrics.cc
@@ -31,8 +31,8 @@
 
 void Observe(LatencyHistogram& histogram, Duration duration) {
   const long elapsed = ToMilliseconds(duration);
-  const auto bound = std::ranges::lower_bound(
-      LatencyHistogram::kBoundsMilliseconds, elapsed);
+  const auto bound =
+      std::ranges::lower_bound(LatencyHistogram::kBoundsMilliseconds, elapsed);
   ++histogram.counts[static_cast<std::size_t>(
       bound - LatencyHistogram::kBoundsMilliseconds.begin())];
   histogram.sum_milliseconds +=
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -28,7 +28,7 @@
 struct GatewaySettings {
   std::string name;
   std::string failure_domain;
-  std::string request_address;    // "ip:port", like all addresses here
+  std::string request_address;  // "ip:port", like all addresses here
   std::string readiness_address;
   std::string directory_address;
   std::string peer_address;
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -69,9 +69,13 @@
 }
 
 void MeshAgent::Announce() {
-  if (this->context.peers) {
-    this->SendHeartbeat();
+  if (!this->context.peers) {
+    return;
   }
+  NoteStatus(this->context.members, this->OwnStatus(), Duration(0),
+             this->context.Now());
+  this->SendHeartbeat();
+  this->PassOnMembers();
 }
 
 void MeshAgent::Leave(std::function<void()> on_done) {
@@ -200,21 +204,23 @@
     return;
   }
   const MemberStatus& status = heartbeat->status;
-  const auto known = this->context.members.members.find(status.record.name);
-  const bool is_news = known == this->context.members.members.end() ||
-                       known->second.status != status;
-  NoteStatus(this->context.members, status, Duration(0), this->context.Now());
-  if (is_news) {
+  if (NoteStatus(this->context.members, status, Duration(0),
+                 this->context.Now())) {
     LogEvent(LogLevel::kInfo, "member",
              {{"member", status.record.name},
               {"incarnation", status.record.incarnation},
               {"ready", status.is_ready ? "yes" : "no"},
               {"leaving", status.is_leaving ? "yes" : "no"},
               {"duties", std::to_string(status.duties.size())}});
-    this->members_sent_at = TimePoint();
-    if (this->current_role.is_aggregator) {
-      this->ScheduleUrgentDigest();
-    }
+    this->PassOnMembers();
+  }
+}
+
+// Names the members with the next digest, which is sent at once.
+void MeshAgent::PassOnMembers() {
+  this->members_sent_at = TimePoint();
+  if (this->current_role.is_aggregator) {
+    this->ScheduleUrgentDigest();
   }
 }
 
@@ -251,11 +257,17 @@
     Count(this->context.metrics, "peer_messages_malformed");
     return;
   }
+  bool has_member_news = false;
   for (const DigestMember& member : digest->members) {
     if (member.status.record.name != this->context.settings.name) {
-      NoteStatus(this->context.members, member.status, member.age, now);
+      has_member_news =
+          NoteStatus(this->context.members, member.status, member.age, now) ||
+          has_member_news;
     }
   }
+  if (has_member_news) {
+    this->PassOnMembers();
+  }
   const auto sender = this->context.members.members.find(digest->sender);
   if (sender != this->context.members.members.end()) {
     sender->second.heard_at = now;
@@ -326,9 +338,10 @@
   }
   MeshRole role;
   role.is_aggregator = has_first && this->aggregators.front() == name;
-  role.is_standby = this->aggregators.size() > 1 && this->aggregators[1] == name;
-  role.is_alone = !role.is_aggregator &&
-                  now - this->digest_at > kAggregatorSilence;
+  role.is_standby =
+      this->aggregators.size() > 1 && this->aggregators[1] == name;
+  role.is_alone =
+      !role.is_aggregator && now - this->digest_at > kAggregatorSilence;
   if (role != this->current_role) {
     this->current_role = role;
     this->handlers.on_role(role);
@@ -373,14 +386,13 @@
   this->digest_sent_at = now;
 }
 
-std::vector<DigestMember> MeshAgent::DescribeMembers(
-    MemberScope scope) const {
+std::vector<DigestMember> MeshAgent::DescribeMembers(MemberScope scope) const {
   const TimePoint now = this->context.Now();
   std::vector<DigestMember> members;
   for (const auto& [name, entry] : this->context.members.members) {
-    const bool is_wanted = scope == MemberScope::kAll ||
-                           entry.status.record.failure_domain ==
-                               this->context.settings.failure_domain;
+    const bool is_wanted =
+        scope == MemberScope::kAll || entry.status.record.failure_domain ==
+                                          this->context.settings.failure_domain;
     if (is_wanted && IsAlive(entry, now)) {
       members.push_back({entry.status, now - entry.heard_at});
     }
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -71,6 +71,7 @@
   void OnMemberChanges(const std::vector<MemberChange>& changes);
   void OnPeerMessage(const std::string& method, const Json::Value& parameters);
   void OnHeartbeat(const Json::Value& parameters);
+  void PassOnMembers();
   void OnOutcome(const Json::Value& parameters);
   void OnDigest(const Json::Value& parameters);
   void OnTick();
--- a/libraries/gateway/refusal.h
+++ b/libraries/gateway/refusal.h
@@ -12,9 +12,9 @@
 
 // Why a caller gets an answer that no backend server made.
 enum class RefusalReason {
-  kNotConfigured,   // no configuration is known yet
+  kNotConfigured,  // no configuration is known yet
   kNoRoute,
-  kNoKey,           // none, or one that nobody holds
+  kNoKey,  // none, or one that nobody holds
   kHeadTooLarge,
   kBodyTooLarge,
   kOverAllowance,
--- a/libraries/gateway/request_attempt.cc
+++ b/libraries/gateway/request_attempt.cc
@@ -47,9 +47,9 @@
 // Statuses by which this instance promises that a request has not run. A
 // server's own answer must not be taken for one.
 bool LooksLikePromise(int status) {
-  constexpr std::array kPromises = {
-      kServiceUnavailableStatus, kTooManyRequestsStatus, kRequestTimeoutStatus,
-      kMisdirectedStatus};
+  constexpr std::array kPromises = {kServiceUnavailableStatus,
+                                    kTooManyRequestsStatus,
+                                    kRequestTimeoutStatus, kMisdirectedStatus};
   return std::ranges::find(kPromises, status) != kPromises.end();
 }
 
@@ -123,23 +123,20 @@
   call.target = this->exchange->target();
   call.headers = EndToEndHeaders(this->exchange->headers());
   std::erase_if(call.headers, [&](const Header& header) {
-    return IsAnyOf(header.name,
-                   {"Authorization", "Content-Length", "Expect",
-                    dialect.workspace, dialect.expected_server,
-                    dialect.time_left});
+    return IsAnyOf(header.name, {"Authorization", "Content-Length", "Expect",
+                                 dialect.workspace, dialect.expected_server,
+                                 dialect.time_left});
   });
   call.headers.push_back(
       {dialect.time_left, std::to_string(ToMilliseconds(this->time_left()))});
-  call.headers.push_back(
-      {dialect.expected_server, this->attempt.lease.server});
+  call.headers.push_back({dialect.expected_server, this->attempt.lease.server});
   if (!this->workspace.empty()) {
     call.headers.push_back({dialect.workspace, this->workspace});
   }
   call.connection_use = this->route().is_idempotent ? ConnectionUse::kReusable
                                                     : ConnectionUse::kFresh;
   call.connect_timeout = std::min(kConnectTimeout, this->time_left());
-  const auto length =
-      ReadUnsigned(this->exchange->headers(), "Content-Length");
+  const auto length = ReadUnsigned(this->exchange->headers(), "Content-Length");
   call.has_body =
       length || FindHeader(this->exchange->headers(), "Transfer-Encoding");
   call.body_length =
@@ -170,8 +167,7 @@
 void RequestFlow::OnHead(int status, const HeaderList& headers) {
   this->attempt.status = status;
   this->attempt.headers = headers;
-  const std::string load =
-      HeaderText(headers, this->context.dialect.load);
+  const std::string load = HeaderText(headers, this->context.dialect.load);
   if (!load.empty()) {
     this->attempt.load = this->context.dialect.parse_load(load);
   }
@@ -213,8 +209,8 @@
     return true;
   }
   this->attempt.held += data;
-  const std::size_t most = this->route().is_idempotent ? kHeldRepeatableBytes
-                                                       : kHeldOnceBytes;
+  const std::size_t most =
+      this->route().is_idempotent ? kHeldRepeatableBytes : kHeldOnceBytes;
   if (!this->attempt.fault && this->attempt.held.size() > most) {
     this->BeginAnswer(ReadUnsigned(this->attempt.headers, "Content-Length"));
   }
@@ -258,16 +254,13 @@
 }
 
 void RequestFlow::ReleaseServer(std::optional<Outcome> outcome) {
-  this->parts.servers.Release(this->attempt.lease, outcome,
-                              this->attempt.load);
+  this->parts.servers.Release(this->attempt.lease, outcome, this->attempt.load);
 }
 
 std::optional<Outcome> RequestFlow::OutcomeOf(AttemptEnd end) const {
-  const Duration elapsed =
-      this->context.Now() - this->attempt.lease.taken_at;
-  const bool is_long =
-      elapsed >
-      this->parts.servers.UsualWork(this->service) * kBrokenWorkFactor;
+  const Duration elapsed = this->context.Now() - this->attempt.lease.taken_at;
+  const bool is_long = elapsed > this->parts.servers.UsualWork(this->service) *
+                                     kBrokenWorkFactor;
   switch (end) {
     case AttemptEnd::kAnswered:
       return this->attempt.is_overdue ? std::nullopt
@@ -336,8 +329,9 @@
       return;
     case NextStep::kAnswerUnknown:
     case NextStep::kAnswerFailed:
-      this->Refuse({end == AttemptEnd::kStalled ? RefusalReason::kTimedOut
-                                                : RefusalReason::kServerFailed});
+      this->Refuse({end == AttemptEnd::kStalled
+                        ? RefusalReason::kTimedOut
+                        : RefusalReason::kServerFailed});
       return;
     case NextStep::kResume:
     case NextStep::kCutAnswer:
@@ -384,10 +378,9 @@
   }
   this->attempt.is_overdue = true;
   this->parts.servers.Note(this->attempt.lease, Outcome::kOverdue);
-  const bool may_move = this->route().is_idempotent &&
-                        this->attempt.status == 0 &&
-                        !this->context.is_leaving &&
-                        this->MayRetry(AttemptEnd::kStalled);
+  const bool may_move =
+      this->route().is_idempotent && this->attempt.status == 0 &&
+      !this->context.is_leaving && this->MayRetry(AttemptEnd::kStalled);
   if (may_move) {
     this->EndAttempt(AttemptEnd::kStalled);
   }
@@ -396,17 +389,16 @@
 void RequestFlow::LogAttempt(std::string_view outcome) const {
   const ServerLease& lease = this->attempt.lease;
   const Duration elapsed = this->context.Now() - lease.taken_at;
-  LogEvent(
-      LogLevel::kInfo, "attempt",
-      {{"request", this->request_id},
-       {"server", lease.server},
-       {"outcome", std::string(outcome)},
-       {"status", std::to_string(this->attempt.status)},
-       {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
-       {"failure_percent",
-        std::to_string(static_cast<int>(lease.failure_probability * 100))},
-       {"load", std::to_string(static_cast<int>(lease.load))},
-       {"repeatable", this->route().is_idempotent ? "yes" : "no"}});
+  LogEvent(LogLevel::kInfo, "attempt",
+           {{"request", this->request_id},
+            {"server", lease.server},
+            {"outcome", std::string(outcome)},
+            {"status", std::to_string(this->attempt.status)},
+            {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
+            {"failure_percent",
+             std::to_string(static_cast<int>(lease.failure_probability * 100))},
+            {"load", std::to_string(static_cast<int>(lease.load))},
+            {"repeatable", this->route().is_idempotent ? "yes" : "no"}});
 }
 
 }  // namespace parsleyquay
--- a/libraries/gateway/request_flow.cc
+++ b/libraries/gateway/request_flow.cc
@@ -66,8 +66,8 @@
   this->exchange->SetHandlers({.on_body = call(&RequestFlow::CollectBody),
                                .on_writable = call(&RequestFlow::OnCallerReady),
                                .on_closed = call(&RequestFlow::OnCallerGone)});
-  this->request_id = HeaderText(this->exchange->headers(),
-                                this->context.dialect.request_id);
+  this->request_id =
+      HeaderText(this->exchange->headers(), this->context.dialect.request_id);
   this->routing = this->context.routing;
   if (!this->routing) {
     this->Refuse({RefusalReason::kNotConfigured, kUsualRetryAfter});
@@ -120,8 +120,8 @@
 }
 
 void RequestFlow::ReadDeadline() {
-  const auto asked = ReadUnsigned(this->exchange->headers(),
-                                  this->context.dialect.time_left);
+  const auto asked =
+      ReadUnsigned(this->exchange->headers(), this->context.dialect.time_left);
   Duration time = this->route().timeout > Duration(0) ? this->route().timeout
                                                       : kLongestTime;
   if (asked && milliseconds(*asked) < time) {
@@ -163,8 +163,8 @@
     this->Place();
     return;
   }
-  const Duration patience = std::min(
-      kLongestAllowanceWait, this->time_left() / kAllowanceWaitDivisor);
+  const Duration patience = std::min(kLongestAllowanceWait,
+                                     this->time_left() / kAllowanceWaitDivisor);
   const std::weak_ptr<RequestFlow> weak = this->self;
   const Duration home_patience =
       std::min(kLongestHomeWait, this->time_left() / kHomeWaitDivisor);
@@ -227,8 +227,8 @@
 void RequestFlow::StartTimer() {
   TimePoint next = this->deadline;
   if (this->attempt.call && !this->attempt.is_overdue) {
-    next = std::min(next, this->attempt.lease.taken_at +
-                              this->route().latency_target);
+    next = std::min(
+        next, this->attempt.lease.taken_at + this->route().latency_target);
   }
   this->timer.StartOnce(std::max(Duration(0), next - this->context.Now()));
 }
@@ -268,22 +268,20 @@
   this->timer.Stop();
   this->exchange->SetHandlers({});
   const Duration elapsed = this->context.Now() - this->started_at;
-  const std::string route_name =
-      this->matched_route ? this->route().name : "-";
-  LogEvent(LogLevel::kInfo, "request",
-           {{"request", this->request_id},
-            {"outcome", std::string(outcome)},
-            {"status", std::to_string(status)},
-            {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
-            {"route", route_name},
-            {"service", this->service.empty() ? "-" : this->service},
-            {"workspace", this->workspace.empty() ? "-" : this->workspace},
-            {"allowance", std::string(AllowanceSourceName(
-                              this->allowance_source))},
-            {"servers", std::to_string(this->tried.size())},
-            {"time_left_ms", std::to_string(ToMilliseconds(this->time_left()))},
-            {"version",
-             std::to_string(this->context.configuration_version())}});
+  const std::string route_name = this->matched_route ? this->route().name : "-";
+  LogEvent(
+      LogLevel::kInfo, "request",
+      {{"request", this->request_id},
+       {"outcome", std::string(outcome)},
+       {"status", std::to_string(status)},
+       {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
+       {"route", route_name},
+       {"service", this->service.empty() ? "-" : this->service},
+       {"workspace", this->workspace.empty() ? "-" : this->workspace},
+       {"allowance", std::string(AllowanceSourceName(this->allowance_source))},
+       {"servers", std::to_string(this->tried.size())},
+       {"time_left_ms", std::to_string(ToMilliseconds(this->time_left()))},
+       {"version", std::to_string(this->context.configuration_version())}});
   const bool is_owed = !this->service.empty() && outcome != "caller_gone";
   if (is_owed && outcome != "served") {
     this->parts.servers.NoteUnserved(this->service);
--- a/libraries/gateway/server_desk.cc
+++ b/libraries/gateway/server_desk.cc
@@ -50,10 +50,9 @@
 std::optional<ServerLease> ServerDesk::Take(const ServerWish& wish) {
   const std::vector<std::string>& names = this->list.NamesOf(wish.service);
   std::vector<PlacementCandidate> candidates(names.size());
-  std::ranges::transform(names, candidates.begin(),
-                         [&](const std::string& name) {
-                           return this->ToCandidate(name, wish);
-                         });
+  std::ranges::transform(
+      names, candidates.begin(),
+      [&](const std::string& name) { return this->ToCandidate(name, wish); });
   const PlacementNeed need{.may_repeat = wish.may_repeat,
                            .is_bulk = wish.is_bulk,
                            .usual_work = this->UsualWork(wish.service),
@@ -93,7 +92,8 @@
 ServiceTraffic ServerDesk::TrafficOf(const std::string& service) const {
   const auto rate_of = [&](const std::map<std::string, RateMeter>& rates) {
     const auto found = rates.find(service);
-    return found == rates.end() ? 0 : RateAt(found->second, this->context.Now());
+    return found == rates.end() ? 0
+                                : RateAt(found->second, this->context.Now());
   };
   std::set<std::string> domains;
   for (const auto& [name, entry] : this->context.members.members) {
@@ -101,8 +101,8 @@
   }
   return {.served_per_second = rate_of(this->served_rates),
           .unserved_per_second = rate_of(this->unserved_rates),
-          .near_share =
-              1 / static_cast<double>(std::max<std::size_t>(1, domains.size()))};
+          .near_share = 1 / static_cast<double>(
+                                std::max<std::size_t>(1, domains.size()))};
 }
 
 void ServerDesk::Release(const ServerLease& lease,
@@ -293,8 +293,8 @@
   const Duration work = this->context.Now() - lease.taken_at;
   const Duration usual = this->UsualWork(lease.service);
   this->usual_work[lease.service] =
-      usual + std::chrono::duration_cast<Duration>((work - usual) *
-                                                   kWorkSmoothing);
+      usual +
+      std::chrono::duration_cast<Duration>((work - usual) * kWorkSmoothing);
 }
 
 }  // namespace parsleyquay
--- a/libraries/gateway/server_desk.h
+++ b/libraries/gateway/server_desk.h
@@ -110,9 +110,10 @@
   void NotePath(ServerUse& use, Outcome outcome);
   ColdBound ColdBoundOf(const std::string& service) const;
   void NoteWork(const ServerLease& lease);
-  std::optional<std::size_t> Choose(const std::vector<PlacementCandidate>& candidates,
-                     const PlacementNeed& need,
-                     const std::string& service);
+  std::optional<std::size_t> Choose(
+      const std::vector<PlacementCandidate>& candidates,
+      const PlacementNeed& need,
+      const std::string& service);
   ServiceTraffic TrafficOf(const std::string& service) const;
 
   GatewayContext& context;
@@ -122,7 +123,7 @@
   SpellModel model;
   StartPacer pacer;
   std::map<std::string, ServerUse> uses;
-  std::map<std::string, Duration> usual_work;  // by service
+  std::map<std::string, Duration> usual_work;       // by service
   std::map<std::string, RateMeter> served_rates;    // by service
   std::map<std::string, RateMeter> unserved_rates;  // by service
 };
--- a/libraries/http/header_list.cc
+++ b/libraries/http/header_list.cc
@@ -63,11 +63,11 @@
 HeaderList EndToEndHeaders(const HeaderList& headers) {
   const std::string connection = HeaderText(headers, "Connection");
   HeaderList kept;
-  std::ranges::copy_if(
-      headers, std::back_inserter(kept), [&](const Header& header) {
-        return !IsHopByHopHeader(header.name) &&
-               !IsNamedInList(connection, header.name);
-      });
+  std::ranges::copy_if(headers, std::back_inserter(kept),
+                       [&](const Header& header) {
+                         return !IsHopByHopHeader(header.name) &&
+                                !IsNamedInList(connection, header.name);
+                       });
   return kept;
 }
 
--- a/libraries/mesh/digest.cc
+++ b/libraries/mesh/digest.cc
@@ -12,11 +12,29 @@
 constexpr int kOutcomeCount = 6;
 
 // Fields of the arrays, in their order.
-enum MemberField { kName, kDomain, kRequests, kPeers, kIncarnation, kFlags,
-                   kDuties, kAge, kMemberFields };
-enum ServerField { kServer, kService, kAddress, kServerDomain, kSlots,
-                   kDraining, kCold, kServerIncarnation, kSequence,
-                   kServerFields };
+enum MemberField {
+  kName,
+  kDomain,
+  kRequests,
+  kPeers,
+  kIncarnation,
+  kFlags,
+  kDuties,
+  kAge,
+  kMemberFields
+};
+enum ServerField {
+  kServer,
+  kService,
+  kAddress,
+  kServerDomain,
+  kSlots,
+  kDraining,
+  kCold,
+  kServerIncarnation,
+  kSequence,
+  kServerFields
+};
 
 Json::Value EncodeStatus(const MemberStatus& status) {
   Json::Value row(Json::arrayValue);
@@ -37,14 +55,13 @@
 
 MemberStatus DecodeStatus(const Json::Value& row) {
   const int flags = row[kFlags].asInt();
-  MemberStatus status{
-      .record = {.name = row[kName].asString(),
-                 .failure_domain = row[kDomain].asString(),
-                 .request_address = row[kRequests].asString(),
-                 .peer_address = row[kPeers].asString(),
-                 .incarnation = row[kIncarnation].asString()},
-      .is_ready = (flags & kReadyFlag) != 0,
-      .is_leaving = (flags & kLeavingFlag) != 0};
+  MemberStatus status{.record = {.name = row[kName].asString(),
+                                 .failure_domain = row[kDomain].asString(),
+                                 .request_address = row[kRequests].asString(),
+                                 .peer_address = row[kPeers].asString(),
+                                 .incarnation = row[kIncarnation].asString()},
+                      .is_ready = (flags & kReadyFlag) != 0,
+                      .is_leaving = (flags & kLeavingFlag) != 0};
   std::ranges::transform(row[kDuties], std::back_inserter(status.duties),
                          [](const Json::Value& duty) {
                            return static_cast<long>(duty.asInt64());
@@ -73,15 +90,15 @@
 ServerChange DecodeServerChange(const Json::Value& row) {
   ServerChange change{row[kServer].asString(), std::nullopt};
   if (row.size() == kServerFields) {
-    change.listing = ServerListing{
-        .service = row[kService].asString(),
-        .address = row[kAddress].asString(),
-        .failure_domain = row[kServerDomain].asString(),
-        .slots = static_cast<long>(row[kSlots].asInt64()),
-        .is_draining = row[kDraining].asBool(),
-        .cold_remaining = milliseconds(row[kCold].asInt64()),
-        .incarnation = row[kServerIncarnation].asUInt64(),
-        .sequence = row[kSequence].asUInt64()};
+    change.listing =
+        ServerListing{.service = row[kService].asString(),
+                      .address = row[kAddress].asString(),
+                      .failure_domain = row[kServerDomain].asString(),
+                      .slots = static_cast<long>(row[kSlots].asInt64()),
+                      .is_draining = row[kDraining].asBool(),
+                      .cold_remaining = milliseconds(row[kCold].asInt64()),
+                      .incarnation = row[kServerIncarnation].asUInt64(),
+                      .sequence = row[kSequence].asUInt64()};
   }
   return change;
 }
@@ -96,8 +113,7 @@
   row.append(Json::Int64(server.load));
   for (int outcome = 0; outcome < kOutcomeCount; ++outcome) {
     const auto count = server.counts.find(static_cast<Outcome>(outcome));
-    row.append(
-        Json::Int64(count == server.counts.end() ? 0 : count->second));
+    row.append(Json::Int64(count == server.counts.end() ? 0 : count->second));
   }
   return row;
 }
@@ -112,8 +128,7 @@
   server.newest_at = now - milliseconds(row[kAgeField].asInt64());
   server.load = static_cast<long>(row[kLoadField].asInt64());
   for (int outcome = 0; outcome < kOutcomeCount; ++outcome) {
-    const auto count =
-        static_cast<long>(row[kFirstCount + outcome].asInt64());
+    const auto count = static_cast<long>(row[kFirstCount + outcome].asInt64());
     if (count > 0) {
       server.counts[static_cast<Outcome>(outcome)] = count;
     }
--- a/libraries/mesh/member_table.cc
+++ b/libraries/mesh/member_table.cc
@@ -16,22 +16,24 @@
 
 }  // namespace
 
-void NoteStatus(MemberTable& table,
+bool NoteStatus(MemberTable& table,
                 const MemberStatus& status,
                 Duration age,
                 TimePoint now) {
   MemberEntry& entry = table.members[status.record.name];
   const TimePoint heard_at = now - age;
   if (heard_at < entry.heard_at) {
-    return;
+    return false;
   }
   const bool is_new_life =
       entry.status.record.incarnation != status.record.incarnation;
   if (is_new_life) {
     entry.suspected_until = TimePoint();
   }
+  const bool is_news = entry.status != status;
   entry.status = status;
   entry.heard_at = heard_at;
+  return is_news;
 }
 
 void NoteRecord(MemberTable& table, const MemberRecord& record, TimePoint now) {
@@ -87,10 +89,9 @@
 }
 
 std::size_t CountAlive(const MemberTable& table, TimePoint now) {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(table.members, [&](const auto& item) {
-        return IsAlive(item.second, now);
-      }));
+  return static_cast<std::size_t>(std::ranges::count_if(
+      table.members,
+      [&](const auto& item) { return IsAlive(item.second, now); }));
 }
 
 }  // namespace parsleyquay
--- a/libraries/mesh/member_table.h
+++ b/libraries/mesh/member_table.h
@@ -41,7 +41,8 @@
 constexpr Duration kSilenceLimit = milliseconds(3'200);
 
 // Notes a status that was true `age` ago. An older one changes nothing.
-void NoteStatus(MemberTable& table,
+// Returns whether it says anything new.
+bool NoteStatus(MemberTable& table,
                 const MemberStatus& status,
                 Duration age,
                 TimePoint now);
--- a/libraries/placement/placement.h
+++ b/libraries/placement/placement.h
@@ -18,8 +18,8 @@
   double busy_share = 0;
   long slots = 1;
   bool is_cold = false;
-  bool is_near = true;      // in the instance's own failure domain
-  bool is_permitted = true;  // by its pace, and not tried before
+  bool is_near = true;            // in the instance's own failure domain
+  bool is_permitted = true;       // by its pace, and not tried before
   Duration unused = Duration(0);  // since any instance has seen an outcome
 
   bool operator==(const PlacementCandidate&) const = default;
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -50,7 +50,7 @@
   kDraining,
   kCooled,  // cold, or longer cold than known
   kRemoved,
-  kLapsed,    // vanished, but used on until it is known to be gone
+  kLapsed,     // vanished, but used on until it is known to be gone
   kOvertaken,  // older than what is known
 };
 
--- a/libraries/routing/fleet_configuration.h
+++ b/libraries/routing/fleet_configuration.h
@@ -29,7 +29,7 @@
   bool is_public = false;  // served without a key
   Duration timeout = Duration(0);
   Duration latency_target = Duration(0);
-  int priority = 0;  // 0 is served first
+  int priority = 0;       // 0 is served first
   long most_servers = 1;  // that one request may be sent to
 
   bool operator==(const HostRoute&) const = default;
--- a/services/parsleyquay_gateway.cc
+++ b/services/parsleyquay_gateway.cc
@@ -93,13 +93,12 @@
   std::unique_ptr<parsleyquay::Gateway> gateway;
   const bool has_started = parsleyquay::RunOrReport(
       [&]() -> parsleyquay::Result<void> {
-        BOOST_LEAF_ASSIGN(
-            gateway,
-            parsleyquay::Gateway::Create(
-                loop, http, settings,
-                parsleyquay::platform::MakePlatformPort(store,
-                                                        settings.duty_count),
-                parsleyquay::platform::MakePlatformDialect()));
+        BOOST_LEAF_ASSIGN(gateway,
+                          parsleyquay::Gateway::Create(
+                              loop, http, settings,
+                              parsleyquay::platform::MakePlatformPort(
+                                  store, settings.duty_count),
+                              parsleyquay::platform::MakePlatformDialect()));
         return {};
       },
       [](const parsleyquay::Error& error) {
--- a/tests/allowance/allowance_test.cc
+++ b/tests/allowance/allowance_test.cc
@@ -10,7 +10,8 @@
 
 const TimePoint kStart = TimePoint(seconds(1'000));
 const WorkspaceTerms kTerms{.requests_per_second = 20, .burst = 30};
-const AllowanceTolerance kTolerance{.window = seconds(5), .overshoot = 0.1,
+const AllowanceTolerance kTolerance{.window = seconds(5),
+                                    .overshoot = 0.1,
                                     .slack = 20};
 
 TEST_CASE("a bucket begins empty and fills to the burst") {
@@ -28,8 +29,7 @@
 TEST_CASE("a request may wait for a token that comes soon") {
   AllowanceHome home;
   BeginMetering(home, "w", kStart);
-  const auto answer =
-      TakeToken(home, "w", kTerms, milliseconds(100), kStart);
+  const auto answer = TakeToken(home, "w", kTerms, milliseconds(100), kStart);
   CHECK(answer.is_granted);
   CHECK(answer.retry_after == milliseconds(50));
   CHECK_FALSE(
@@ -65,8 +65,8 @@
       }
       for (int ask = 0; ask < 6; ++ask) {
         const std::size_t instance = random() % kInstances;
-        const bool is_cut = (instance + static_cast<std::size_t>(step) / 200) %
-                                3 == 0;
+        const bool is_cut =
+            (instance + static_cast<std::size_t>(step) / 200) % 3 == 0;
         const long share =
             SpareRequests(kTerms, kTolerance, instance, kInstances);
         const bool is_granted =
--- a/tests/base/duration_text_test.cc
+++ b/tests/base/duration_text_test.cc
@@ -12,8 +12,8 @@
 }
 
 TEST_CASE("text that is no duration is not taken for one") {
-  for (const char* text : {"", "5", "ms", "5 s", "-1s", "5m", "1e300s", "nans",
-                           "5ss", "infs"}) {
+  for (const char* text :
+       {"", "5", "ms", "5 s", "-1s", "5m", "1e300s", "nans", "5ss", "infs"}) {
     CHECK_FALSE(ParseDuration(text));
   }
 }
--- a/tests/belief/server_belief_test.cc
+++ b/tests/belief/server_belief_test.cc
@@ -33,8 +33,7 @@
 TEST_CASE("beliefs are borne out by what happens") {
   std::mt19937 random(11);
   std::uniform_real_distribution<double> uniform(0, 1);
-  const double cycle =
-      std::chrono::duration<double>(kModel.mean_cycle).count();
+  const double cycle = std::chrono::duration<double>(kModel.mean_cycle).count();
   constexpr Duration kStep = milliseconds(100);
   constexpr double kStepSeconds = 0.1;
   struct Bin {
@@ -50,8 +49,8 @@
       const TimePoint now = kStart + kStep * step;
       const double rate = is_in_spell ? 1 / (cycle * kModel.spell_share)
                                       : 1 / (cycle * (1 - kModel.spell_share));
-      is_in_spell = uniform(random) < rate * kStepSeconds ? !is_in_spell
-                                                          : is_in_spell;
+      is_in_spell =
+          uniform(random) < rate * kStepSeconds ? !is_in_spell : is_in_spell;
       if (uniform(random) > 0.4) {
         continue;
       }
--- a/tests/gateway/answers_test.cc
+++ b/tests/gateway/answers_test.cc
@@ -60,14 +60,13 @@
 
 TEST_CASE("a request goes on unchanged, with what the system sets") {
   OneServer fixture(Good("hello"));
-  const SimpleAnswer answer = fixture.Send(
-      "POST", "/once/a%2fb/../c?q=1&r=%20",
-      {{"Tenant", "forged"},
-       {"Expected-Instance", "forged"},
-       {"X-Custom", "kept"},
-       {"X-Hop", "dropped"},
-       {"Connection", "X-Hop"}},
-      "body-bytes");
+  const SimpleAnswer answer = fixture.Send("POST", "/once/a%2fb/../c?q=1&r=%20",
+                                           {{"Tenant", "forged"},
+                                            {"Expected-Instance", "forged"},
+                                            {"X-Custom", "kept"},
+                                            {"X-Hop", "dropped"},
+                                            {"Connection", "X-Hop"}},
+                                           "body-bytes");
   CHECK(answer.status == 200);
   CHECK(answer.body == "hello");
   CHECK(HeaderText(answer.headers, "Response-Signature") == "sig");
@@ -109,15 +108,17 @@
 
 TEST_CASE("keys and routes decide who is served") {
   OneServer fixture(Good("hello"));
-  CHECK(fixture.Send("GET", "/safe/1", {{"Authorization", "Bearer no"}})
-            .status == 401);
+  CHECK(
+      fixture.Send("GET", "/safe/1", {{"Authorization", "Bearer no"}}).status ==
+      401);
   CHECK(fixture.Send("GET", "/safe/1", {{"Authorization", "Basic shop-key"}})
             .status == 401);
   CHECK(fixture.Send("GET", "/none/1").status == 404);
   CHECK(fixture.Send("GET", "/safe/1", {{"Host", "b.example"}}).status == 404);
   CHECK(fixture.server.requests().empty());
-  CHECK(fixture.Send("GET", "/open/1", {{"Authorization", "Bearer no"}})
-            .status == 200);
+  CHECK(
+      fixture.Send("GET", "/open/1", {{"Authorization", "Bearer no"}}).status ==
+      200);
   const std::string& head = fixture.server.requests().at(0).head;
   CHECK(RawHeader(head, "Authorization").empty());
   CHECK(RawHeader(head, "Tenant").empty());
@@ -182,7 +183,8 @@
   CHECK_FALSE(HeaderText(answer.headers, "Retry-After").empty());
 }
 
-TEST_CASE("a server's own refusal does not seem to promise that it has not run") {
+TEST_CASE(
+    "a server's own refusal does not seem to promise that it has not run") {
   for (const char* status : {"503 Busy", "429 Busy", "408 Slow"}) {
     OneServer fixture(Status(status, "Response-Signature: sig\r\n"));
     const SimpleAnswer answer = fixture.Send("POST", "/once/1", {}, "x");
@@ -216,9 +218,10 @@
   const std::vector<ScriptedServer::Script> scripts = {
       Status("500 Oops", "Response-Signature: sig\r\n"),
       Status("200 OK"),  // not signed
-      Status("200 OK",
-             "Response-Signature: sig\r\nContent-Encoding: gzip\r\n"),
-      wrong_id, cut_short, garbage,
+      Status("200 OK", "Response-Signature: sig\r\nContent-Encoding: gzip\r\n"),
+      wrong_id,
+      cut_short,
+      garbage,
       [](const RawRequest&) {
         return RawAnswer{"", ConnectionEnd::kReset};
       }};
@@ -251,8 +254,7 @@
         "GET", "/safe/1", {{"Request-Id", "r-" + std::to_string(i)}});
     CHECK(answer.status == 200);
     CHECK(answer.body == "first");
-    CHECK(HeaderText(answer.headers, "Request-Id") ==
-          "r-" + std::to_string(i));
+    CHECK(HeaderText(answer.headers, "Request-Id") == "r-" + std::to_string(i));
   }
 }
 
@@ -314,25 +316,26 @@
 TEST_CASE("a request that takes too long is answered when its time is up") {
   OneServer fixture([](const RawRequest&) { return RawAnswer{}; });
   const TimePoint began = fixture.loop.Now();
-  const SimpleAnswer answer = fixture.Send("POST", "/once/1",
-                                           {{"Request-Deadline", "400"}}, "x");
+  const SimpleAnswer answer =
+      fixture.Send("POST", "/once/1", {{"Request-Deadline", "400"}}, "x");
   CHECK(answer.status == 504);
   CHECK(fixture.loop.Now() - began < milliseconds(650));
 }
 
 TEST_CASE("a caller that leaves ends the work at the server") {
   OneServer fixture([](const RawRequest&) { return RawAnswer{}; });
-  const auto call = fixture.caller.Fetch(
-      {.method = "POST",
-       .address = fixture.settings.request_address,
-       .target = "/once/1",
-       .headers = {{"Host", "a.example"},
-                   {"Request-Id", "r-1"},
-                   {"Request-Deadline", "5000"},
-                   {"Authorization", "Bearer shop-key"}},
-       .connection_use = ConnectionUse::kFresh},
-      "x", [](const SimpleAnswer&) {});
-  REQUIRE(fixture.Await([&] { return fixture.server.open_connections() == 1; }));
+  const auto call =
+      fixture.caller.Fetch({.method = "POST",
+                            .address = fixture.settings.request_address,
+                            .target = "/once/1",
+                            .headers = {{"Host", "a.example"},
+                                        {"Request-Id", "r-1"},
+                                        {"Request-Deadline", "5000"},
+                                        {"Authorization", "Bearer shop-key"}},
+                            .connection_use = ConnectionUse::kFresh},
+                           "x", [](const SimpleAnswer&) {});
+  REQUIRE(
+      fixture.Await([&] { return fixture.server.open_connections() == 1; }));
   REQUIRE(fixture.Await([&] { return !fixture.server.requests().empty(); }));
   call->Cancel();
   CHECK(fixture.Await([&] { return fixture.server.open_connections() == 0; },
@@ -343,8 +346,7 @@
   OneServer fixture(Good("hello"));
   CHECK(fixture.Send("GET", "/safe/1", {{"X-Long", std::string(17'000, 'h')}})
             .status == 431);
-  CHECK(fixture.Send("POST", "/once/1",
-                     {{"Content-Length", "900000000"}}, "x")
+  CHECK(fixture.Send("POST", "/once/1", {{"Content-Length", "900000000"}}, "x")
             .status == 413);
   CHECK(fixture.server.requests().empty());
 }
--- a/tests/placement/placement_test.cc
+++ b/tests/placement/placement_test.cc
@@ -39,8 +39,8 @@
 
 TEST_CASE("half of the servers doubted: the rest is not overrun") {
   // The good servers hold two full rounds of work; a doubted one is free.
-  const auto counts = CountDraws({Server(kGood, 9), Server(0.3)},
-                                 {.may_repeat = true});
+  const auto counts =
+      CountDraws({Server(kGood, 9), Server(0.3)}, {.may_repeat = true});
   CHECK(counts[1] > counts[0]);
 }
 
@@ -99,8 +99,8 @@
 TEST_CASE("a server that joined is tried soon") {
   PlacementCandidate unused = Server(0.23);
   unused.unused = seconds(60);
-  const auto counts = CountTrials({Server(kGood), unused}, {},
-                                  {.served_per_second = 20});
+  const auto counts =
+      CountTrials({Server(kGood), unused}, {}, {.served_per_second = 20});
   CHECK(counts[1] > 100);
   CHECK(counts[0] == 0);
 }
@@ -121,8 +121,8 @@
 }
 
 TEST_CASE("cold starts: the sum over all instances keeps the bound") {
-  const ColdBound bound{.requests_per_second = 7.3, .overshoot = 1.5,
-                        .slack = 5};
+  const ColdBound bound{
+      .requests_per_second = 7.3, .overshoot = 1.5, .slack = 5};
   std::vector<std::string> instances;
   for (int i = 0; i < 44; ++i) {
     instances.push_back("instance-" + std::to_string(i));
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -45,7 +45,8 @@
 }
 
 TEST_CASE("a configuration is decoded whole") {
-  const FleetConfiguration decoded = DecodeConfiguration(kConfiguration).value();
+  const FleetConfiguration decoded =
+      DecodeConfiguration(kConfiguration).value();
   CHECK(decoded.version == 7);
   REQUIRE(decoded.routes.size() == 3);
   const HostRoute& route = decoded.routes[0];
@@ -55,8 +56,7 @@
   CHECK(route.timeout == milliseconds(1'500));
   CHECK(route.latency_target == milliseconds(800));
   CHECK(route.most_servers == 2);
-  CHECK(route.services ==
-        std::vector<WeightedService>{{"s1", 90}, {"s2", 10}});
+  CHECK(route.services == std::vector<WeightedService>{{"s1", 90}, {"s2", 10}});
   CHECK(decoded.routes[1].is_bulk);
   CHECK(decoded.routes[1].is_idempotent);
   CHECK_FALSE(decoded.routes[2].is_idempotent);
@@ -71,8 +71,9 @@
 
 TEST_CASE("a configuration that cannot be read is refused") {
   for (const char* text :
-       {"", "[]", "{", R"({"resources":[]})", R"({"version":"7","resources":[]})",
-        R"({"version":7,"resources":{}})", R"({"version":7,"resources":[1]})",
+       {"", "[]", "{", R"({"resources":[]})",
+        R"({"version":"7","resources":[]})", R"({"version":7,"resources":{}})",
+        R"({"version":7,"resources":[1]})",
         R"({"version":7,"resources":[{"resource_kind":"routes","spec":{}}]})",
         R"({"version":7,"resources":[{"resource_kind":"routes","metadata":{},
             "spec":{"host":"a","path_prefix":"/","kind":"safe"}}]})"}) {
@@ -115,11 +116,11 @@
 }
 
 TEST_CASE("records are framed and a torn page is refused") {
-  const std::string header = std::string(7, '\0') + '\x05' +
-                             std::string(7, '\0') + '\x02';
+  const std::string header =
+      std::string(7, '\0') + '\x05' + std::string(7, '\0') + '\x02';
   const std::string frame = EncodeKeyedRecord({"key", "value"});
-  const auto page = DecodeRecordPage(
-      header + frame + EncodeKeyedRecord({"gone", std::nullopt}));
+  const auto page = DecodeRecordPage(header + frame +
+                                     EncodeKeyedRecord({"gone", std::nullopt}));
   REQUIRE(page);
   CHECK(page->end == 5);
   CHECK(page->first == 2);
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -93,14 +93,13 @@
 void GatewayFixture::ListServer(const std::string& id,
                                 const std::string& address,
                                 bool is_draining) {
-  this->servers.Append(
-      {id, ServerListing{.service = "work",
-                         .address = address,
-                         .failure_domain = "x",
-                         .slots = 3,
-                         .is_draining = is_draining,
-                         .incarnation = 1,
-                         .sequence = this->next_sequence++}});
+  this->servers.Append({id, ServerListing{.service = "work",
+                                          .address = address,
+                                          .failure_domain = "x",
+                                          .slots = 3,
+                                          .is_draining = is_draining,
+                                          .incarnation = 1,
+                                          .sequence = this->next_sequence++}});
 }
 
 SimpleAnswer GatewayFixture::Send(const std::string& method,
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -96,7 +96,8 @@
   void Configure(std::uint64_t version = 1);
 
   // Starts a scripted server and lists it for "work".
-  ScriptedServer& AddServer(const std::string& id, ScriptedServer::Script script);
+  ScriptedServer& AddServer(const std::string& id,
+                            ScriptedServer::Script script);
   void ListServer(const std::string& id,
                   const std::string& address,
                   bool is_draining = false);
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -71,8 +71,8 @@
 }
 
 void ScriptedServer::Accept() {
-  const int descriptor = accept4(this->listener, nullptr, nullptr,
-                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+  const int descriptor =
+      accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (descriptor < 0) {
     return;
   }
@@ -118,8 +118,8 @@
     }
     body_end = last + 5;
   } else {
-    body_end += std::strtoul(RawHeader(head, "Content-Length").c_str(), nullptr,
-                             10);
+    body_end +=
+        std::strtoul(RawHeader(head, "Content-Length").c_str(), nullptr, 10);
   }
   if (connection.incoming.size() < body_end) {
     return false;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -44,9 +44,7 @@
   const std::string& address() const { return this->own_address; }
   const std::vector<RawRequest>& requests() const { return this->seen; }
   int connections() const { return this->accepted; }
-  int open_connections() const {
-    return static_cast<int>(this->open.size());
-  }
+  int open_connections() const { return static_cast<int>(this->open.size()); }
   void SetScript(Script new_script) { this->script = std::move(new_script); }
   // Answers with the head alone, before the body has come.
   void AnswerBeforeBody() { this->is_early = true; }
