tests: Meet the store's faults with a stand-in of its protocol

utilities/standins/store_model speaks appends with conditions, waiting reads, newest records and groups, with outages, silence, slowness, lost and late writes, forgotten history and regrouping.

--- /dev/null
+++ b/tests/platform/store_faults_test.cc
@@ -0,0 +1,277 @@
+// The fleet's port to the store, against a stand-in of the store with its
+// faults.
+
+#include <sodium.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+
+#include "coordination/feed_follower.h"
+#include "platform/platform_port.h"
+#include "store_model.h"
+#include "support/gateway_fixture.h"
+
+namespace parsleyquay {
+namespace {
+
+struct StoreFixture {
+  StoreFixture() {
+    REQUIRE(sodium_init() >= 0);
+    RunOrReport(
+        [&]() -> Result<void> {
+          BOOST_LEAF_ASSIGN(
+              this->server,
+              HttpServer::Create(
+                  this->loop, this->address,
+                  [this](const std::shared_ptr<ServerExchange>& exchange) {
+                    this->model.Serve(0, exchange);
+                  }));
+          return {};
+        },
+        [](const Error& error) { FAIL(ToString(error)); });
+  }
+
+  void Control(const std::string& query, const std::string& body = "") {
+    bool is_done = false;
+    this->client.Fetch(
+        {.method = "POST",
+         .address = this->address,
+         .target = "/control?" + query},
+        body, [&](const SimpleAnswer&) { is_done = true; });
+    REQUIRE(this->Await([&] { return is_done; }));
+  }
+
+  bool Await(const std::function<bool()>& condition,
+             Duration patience = seconds(5)) {
+    bool is_over = false;
+    Timer limit(this->loop, [&] { is_over = true; });
+    limit.StartOnce(patience);
+    while (!condition() && !is_over) {
+      this->loop.RunOnce();
+    }
+    return condition();
+  }
+
+  EventLoop loop;
+  HttpClient client{loop};
+  HttpClient store_client{loop};
+  std::string address = FreeAddress();
+  StoreModel model{loop};
+  std::unique_ptr<HttpServer> server;
+  CoordinationPort port = platform::MakePlatformPort(
+      std::make_shared<platform::StoreClient>(store_client, address),
+      12);
+};
+
+std::string Server(int sequence) {
+  return R"({"service":"s","address":"127.0.0.1:9","zone":"z","version":"v1",
+             "slots":3,"state":"ready","cold_remaining":"0ms","seq":)" +
+         std::to_string(sequence) + "}";
+}
+
+// Follows the list of servers and keeps the sequence last read of each.
+struct Follower {
+  explicit Follower(StoreFixture& fixture, Duration wait = seconds(20))
+      : follower(fixture.loop,
+                 "servers",
+                 fixture.port.servers,
+                 {.wait = wait,
+                  .interval = milliseconds(20),
+                  .timeout = milliseconds(300)},
+                 {.on_changes = [this](const std::vector<ServerChange>& changes,
+                                       ChangeSet set) {
+                   this->wholes += set == ChangeSet::kWhole ? 1 : 0;
+                   for (const ServerChange& change : changes) {
+                     this->sequences[change.server] =
+                         change.listing
+                             ? static_cast<long>(change.listing->sequence)
+                             : -1;
+                   }
+                 }}) {
+    this->follower.Start();
+  }
+  std::map<std::string, long> sequences;
+  int wholes = 0;
+  FeedFollower<ServerChange> follower;
+};
+
+TEST_CASE("what the store holds and what comes later is read") {
+  StoreFixture fixture;
+  fixture.Control("put=keyed.servers&key=a", Server(1));
+  fixture.Control("put=keyed.servers&key=b", "no server at all");
+  Follower follower(fixture);
+  REQUIRE(fixture.Await([&] { return follower.sequences["a"] == 1; }));
+  CHECK_FALSE(follower.sequences.contains("b"));
+  fixture.Control("put=keyed.servers&key=a", Server(2));
+  CHECK(fixture.Await([&] { return follower.sequences["a"] == 2; },
+                      milliseconds(500)));
+  fixture.Control("drop=keyed.servers&key=a");
+  CHECK(fixture.Await([&] { return follower.sequences["a"] == -1; },
+                      milliseconds(500)));
+}
+
+TEST_CASE("more keys than a page holds are all read") {
+  StoreFixture fixture;
+  constexpr int kServers = 620;
+  for (int i = 0; i < kServers; ++i) {
+    fixture.Control("put=keyed.servers&key=s" + std::to_string(i), Server(i));
+  }
+  Follower follower(fixture);
+  CHECK(fixture.Await([&] { return follower.sequences.size() == kServers; }));
+}
+
+TEST_CASE("records that expired before they were read are made up for") {
+  StoreFixture fixture;
+  fixture.Control("put=keyed.servers&key=a", Server(1));
+  Follower follower(fixture);
+  REQUIRE(fixture.Await([&] { return follower.sequences["a"] == 1; }));
+  fixture.Control("down=all");
+  REQUIRE(fixture.Await(
+      [&] { return !follower.follower.is_available(); }, seconds(25)));
+  fixture.Control("put=keyed.servers&key=a", Server(5));
+  fixture.Control("forget=1");
+  fixture.Control("up=all");
+  CHECK(fixture.Await([&] { return follower.sequences["a"] == 5; }));
+  CHECK(follower.wholes == 2);
+}
+
+TEST_CASE("a store that is down, slow or silent is read again when it is back") {
+  for (const char* fault : {"down=all", "silent=all", "slow_ms=2000"}) {
+    StoreFixture fixture;
+    fixture.Control("put=keyed.servers&key=a", Server(1));
+    Follower follower(fixture, Duration(0));
+    REQUIRE(fixture.Await([&] { return follower.sequences["a"] == 1; }));
+    fixture.Control(fault);
+    REQUIRE(
+        fixture.Await([&] { return !follower.follower.is_available(); }));
+    fixture.Control("slow_ms=0");
+    fixture.Control("up=all");
+    fixture.Control("put=keyed.servers&key=a", Server(2));
+    CHECK(fixture.Await([&] { return follower.sequences["a"] == 2; },
+                        milliseconds(2'500)));
+  }
+}
+
+TEST_CASE("a read that waits on a silent connection gives way to a new one") {
+  StoreFixture fixture;
+  fixture.Control("put=keyed.servers&key=a", Server(1));
+  Follower follower(fixture);
+  REQUIRE(fixture.Await([&] { return follower.sequences["a"] == 1; }));
+  fixture.Control("silent=all");
+  // The read under way hears nothing more; a peer knows of a later change.
+  fixture.Control("put=keyed.servers&key=a", Server(2));
+  fixture.Control("up=all");
+  follower.follower.ReadNow();
+  CHECK(fixture.Await([&] { return follower.sequences["a"] == 2; },
+                      milliseconds(500)));
+}
+
+TEST_CASE("instances that start together agree on one secret") {
+  StoreFixture fixture;
+  std::map<int, std::string> secrets;
+  std::function<void(int)> agree = [&](int instance) {
+    fixture.port.agree_on_secret(
+        "proposal-" + std::to_string(instance),
+        [&, instance](const std::optional<std::string>& secret) {
+          if (secret) {
+            secrets[instance] = *secret;
+          } else {
+            agree(instance);
+          }
+        });
+  };
+  for (int instance = 0; instance < 8; ++instance) {
+    agree(instance);
+  }
+  REQUIRE(fixture.Await([&] { return secrets.size() == 8; }));
+  for (const auto& [instance, secret] : secrets) {
+    CHECK(secret == secrets[0]);
+  }
+}
+
+TEST_CASE("a secret whose reply is lost and which is written late is one all the same") {
+  StoreFixture fixture;
+  fixture.Control("lose_replies=1&late_ms=300");
+  std::optional<std::string> secret;
+  std::function<void()> agree = [&] {
+    fixture.port.agree_on_secret(
+        "proposal", [&](const std::optional<std::string>& agreed) {
+          if (agreed) {
+            secret = agreed;
+          } else {
+            agree();
+          }
+        });
+  };
+  agree();
+  CHECK(fixture.Await([&] { return secret.has_value(); }));
+  CHECK(*secret == "proposal");
+}
+
+TEST_CASE("duties are dealt to one member at a time and lapse") {
+  StoreFixture fixture;
+  std::map<std::string, std::vector<long>> held;
+  std::map<std::string, std::uint64_t> generations;
+  const auto renew = [&](const std::string& member) {
+    bool is_done = false;
+    fixture.port.duties.renew(
+        member, seconds(1), generations[member],
+        [&](const std::optional<DutyAssignment>& dealt) {
+          REQUIRE(dealt);
+          held[member] = dealt->duties;
+          generations[member] = dealt->generation;
+          is_done = true;
+        });
+    REQUIRE(fixture.Await([&] { return is_done; }));
+  };
+  renew("a");
+  CHECK(held["a"].size() == 12);
+  renew("b");
+  renew("a");
+  renew("b");
+  CHECK(held["a"].size() == 6);
+  CHECK(held["b"].size() == 6);
+  fixture.Await([] { return false; }, milliseconds(1'100));
+  renew("b");
+  CHECK(held["b"].size() == 12);
+  fixture.Control("regroup=1");
+  renew("b");
+  CHECK(held["b"].size() == 12);
+  bool has_left = false;
+  fixture.port.duties.leave("b", [&] { has_left = true; });
+  REQUIRE(fixture.Await([&] { return has_left; }));
+  renew("a");
+  CHECK(held["a"].size() == 12);
+}
+
+TEST_CASE("a member is found by the others until it takes its record back") {
+  StoreFixture fixture;
+  const MemberRecord record{.name = "g-1",
+                            .failure_domain = "z",
+                            .request_address = "127.0.0.1:1",
+                            .peer_address = "127.0.0.1:2",
+                            .incarnation = "i"};
+  std::optional<PublishOutcome> outcome;
+  const auto publish = [&](const MemberChange& change) {
+    outcome.reset();
+    fixture.port.publish_member(change,
+                                [&](PublishOutcome got) { outcome = got; });
+    REQUIRE(fixture.Await([&] { return outcome.has_value(); }));
+    CHECK(*outcome == PublishOutcome::kDone);
+  };
+  const auto read = [&] {
+    std::optional<FeedRead<MemberChange>> all;
+    fixture.port.members.read_all(
+        seconds(1), [&](FeedRead<MemberChange> got) { all = std::move(got); });
+    REQUIRE(fixture.Await([&] { return all.has_value(); }));
+    return all->changes;
+  };
+  publish({"g-1", record});
+  CHECK(read() == std::vector<MemberChange>{{"g-1", record}});
+  publish({"g-1", std::nullopt});
+  CHECK(read().empty());
+}
+
+}  // namespace
+}  // namespace parsleyquay
--- /dev/null
+++ b/utilities/standins/store_model.cc
@@ -0,0 +1,342 @@
+#include "store_model.h"
+
+#include <json/json.h>
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+
+#include "base/duration_text.h"
+#include "http/request_target.h"
+
+namespace parsleyquay {
+
+namespace {
+
+constexpr std::size_t kPartitions = 12;
+constexpr Duration kReadTurn = milliseconds(5);
+constexpr std::size_t kNewestPage = 500;
+
+std::string BigEndian(std::uint64_t number, int bytes) {
+  std::string text;
+  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+    text += static_cast<char>(number >> shift & 0xff);
+  }
+  return text;
+}
+
+std::string Base64(const std::string& bytes) {
+  std::string text(
+      sodium_base64_ENCODED_LEN(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
+  sodium_bin2base64(text.data(), text.size(),
+                    reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
+  text.pop_back();
+  return text;
+}
+
+Json::Value ParseBody(const std::string& body) {
+  Json::Value value;
+  Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  reader->parse(body.data(), body.data() + body.size(), &value, nullptr);
+  return value;
+}
+
+std::string Render(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+bool IsMeant(const std::set<std::string>& ports, std::size_t port) {
+  return ports.contains("all") || ports.contains(std::to_string(port));
+}
+
+}  // namespace
+
+StoreModel::StoreModel(EventLoop& loop)
+    : loop(loop), read_timer(loop, [this] { this->AnswerWaitingReads(); }) {
+  this->read_timer.StartRepeating(kReadTurn);
+}
+
+void StoreModel::Serve(std::size_t port,
+                       const std::shared_ptr<ServerExchange>& exchange) {
+  const auto body = std::make_shared<std::string>();
+  const std::weak_ptr<ServerExchange> weak = exchange;
+  exchange->SetHandlers({.on_body = [this, port, body, weak] {
+    const auto open = weak.lock();
+    if (!open) {
+      return;
+    }
+    std::array<char, 16'384> buffer;
+    while (const std::size_t size =
+               open->ReadBody(buffer.data(), buffer.size())) {
+      body->append(buffer.data(), size);
+    }
+    if (open->is_body_complete()) {
+      this->Answer(port, open, *body);
+    }
+  }});
+}
+
+void StoreModel::Answer(std::size_t port,
+                        const std::shared_ptr<ServerExchange>& exchange,
+                        const std::string& body) {
+  const std::string path = PathOf(exchange->target());
+  if (path == "/control") {
+    this->Control(*exchange, body);
+    return;
+  }
+  ++this->call_counts[path];
+  if (IsMeant(this->silent, port)) {
+    return;
+  }
+  if (IsMeant(this->down, port)) {
+    this->Respond(exchange, 503, "{}");
+  } else if (path == "/api/log-append") {
+    this->Append(exchange, body);
+  } else if (path == "/api/log-read") {
+    this->Read(exchange);
+  } else if (path == "/api/log-newest") {
+    this->Newest(*exchange);
+  } else if (path == "/api/log-join") {
+    this->Join(*exchange, body);
+  } else if (path == "/api/log-leave") {
+    this->Leave(*exchange, body);
+  } else {
+    this->Respond(exchange, 404, "{}");
+  }
+}
+
+void StoreModel::Control(ServerExchange& exchange, const std::string& body) {
+  const std::string& target = exchange.target();
+  const std::string key = QueryValue(target, "key");
+  const std::string content = static_cast<char>(key.size()) + key;
+  if (const auto port = QueryValue(target, "down"); !port.empty()) {
+    this->down.insert(port);
+  } else if (const auto port = QueryValue(target, "silent"); !port.empty()) {
+    this->silent.insert(port);
+  } else if (const auto port = QueryValue(target, "up"); !port.empty()) {
+    this->down.erase(port);
+    this->silent.erase(port);
+  } else if (const auto topic = QueryValue(target, "put"); !topic.empty()) {
+    this->Put(topic, content + body);
+  } else if (const auto topic = QueryValue(target, "drop"); !topic.empty()) {
+    this->Put(topic, content);
+  } else if (!QueryValue(target, "forget").empty()) {
+    for (auto& [name, topic] : this->topics) {
+      topic.first = topic.end();
+      topic.records.clear();
+    }
+  } else if (!QueryValue(target, "regroup").empty()) {
+    for (auto& [name, group] : this->groups) {
+      group.owners.assign(kPartitions, "");
+      this->Deal(group);
+    }
+  }
+  if (const auto text = QueryValue(target, "slow_ms"); !text.empty()) {
+    this->slowness = milliseconds(QueryNumber(target, "slow_ms"));
+  }
+  if (const auto text = QueryValue(target, "late_ms"); !text.empty()) {
+    this->lateness = milliseconds(QueryNumber(target, "late_ms"));
+  }
+  this->lost_replies +=
+      static_cast<int>(QueryNumber(target, "lose_replies"));
+  exchange.Respond(200, {}, "{}");
+}
+
+void StoreModel::Append(const std::shared_ptr<ServerExchange>& exchange,
+                        const std::string& body) {
+  const std::string& target = exchange->target();
+  const std::string name = QueryValue(target, "topic");
+  Topic& topic = this->topics[name];
+  if (!QueryValue(target, "at").empty() &&
+      QueryNumber(target, "at") != topic.end()) {
+    this->Respond(exchange, 412,
+                  "{\"end\":" + std::to_string(topic.end()) + "}");
+    return;
+  }
+  constexpr std::size_t kLengthBytes = 4;
+  const std::string content = body.substr(std::min(kLengthBytes, body.size()));
+  if (this->lost_replies > 0) {
+    --this->lost_replies;
+    this->After(this->lateness, [this, name, content] {
+      this->Put(name, content);
+    });
+    return;
+  }
+  const std::uint64_t offset = topic.end();
+  this->Put(name, content);
+  this->Respond(exchange, 200,
+                "{\"offset\":" + std::to_string(offset) +
+                    ",\"end\":" + std::to_string(offset + 1) + "}");
+}
+
+void StoreModel::Put(const std::string& topic, const std::string& content) {
+  const std::size_t key_size = static_cast<unsigned char>(content.at(0));
+  Record record{content.substr(1, key_size), content.substr(1 + key_size)};
+  Topic& kept = this->topics[topic];
+  if (record.value.empty()) {
+    kept.newest.erase(record.key);
+  } else {
+    kept.newest[record.key] = {kept.end(), record.value};
+  }
+  kept.records.push_back(std::move(record));
+}
+
+void StoreModel::Read(const std::shared_ptr<ServerExchange>& exchange) {
+  const std::string& target = exchange->target();
+  this->waiting.push_back(
+      {exchange, QueryValue(target, "topic"), QueryNumber(target, "from"),
+       this->loop.Now() + milliseconds(QueryNumber(target, "wait_ms"))});
+}
+
+void StoreModel::AnswerWaitingReads() {
+  std::vector<WaitingRead> reads = std::move(this->waiting);
+  this->waiting.clear();
+  for (WaitingRead& read : reads) {
+    const auto exchange = read.exchange.lock();
+    if (!exchange || exchange->is_closed()) {
+      continue;
+    }
+    const Topic& topic = this->topics[read.topic];
+    if (read.from < topic.first) {
+      this->Respond(exchange, 410,
+                    "{\"first\":" + std::to_string(topic.first) + "}");
+    } else if (read.from >= topic.end() && this->loop.Now() < read.until) {
+      this->waiting.push_back(std::move(read));
+    } else {
+      std::string body = BigEndian(topic.end(), 8) + BigEndian(topic.first, 8);
+      for (std::uint64_t i = read.from; i < topic.end(); ++i) {
+        const Record& record = topic.records[i - topic.first];
+        body += BigEndian(1 + record.key.size() + record.value.size(), 4) +
+                static_cast<char>(record.key.size()) + record.key +
+                record.value;
+      }
+      this->Respond(exchange, 200, body);
+    }
+  }
+}
+
+void StoreModel::Newest(ServerExchange& exchange) {
+  const Topic& topic = this->topics[QueryValue(exchange.target(), "topic")];
+  const std::string after = QueryValue(exchange.target(), "after");
+  Json::Value page;
+  page["items"] = Json::arrayValue;
+  page["has_more"] = false;
+  page["end"] = Json::UInt64(topic.end());
+  for (auto item = topic.newest.upper_bound(after);
+       item != topic.newest.end(); ++item) {
+    if (page["items"].size() == kNewestPage) {
+      page["has_more"] = true;
+      break;
+    }
+    Json::Value row;
+    row["key"] = item->first;
+    row["value"] = Base64(item->second.second);
+    row["offset"] = Json::UInt64(item->second.first);
+    page["items"].append(std::move(row));
+  }
+  exchange.Respond(200, {}, Render(page));
+}
+
+// Takes partitions from members that have gone, and deals what is free.
+void StoreModel::Deal(Group& group) {
+  if (group.members.empty()) {
+    return;
+  }
+  group.owners.resize(kPartitions);
+  const std::size_t most =
+      (kPartitions + group.members.size() - 1) / group.members.size();
+  std::map<std::string, std::size_t> held;
+  for (std::string& owner : group.owners) {
+    const bool is_kept = group.members.contains(owner) && held[owner] < most;
+    if (is_kept) {
+      ++held[owner];
+    } else {
+      owner.clear();
+    }
+  }
+  for (std::string& owner : group.owners) {
+    if (owner.empty()) {
+      const auto next = std::ranges::min_element(
+          group.members, {},
+          [&](const auto& member) { return held[member.first]; });
+      owner = next->first;
+      ++held[owner];
+    }
+  }
+  ++group.generation;
+}
+
+void StoreModel::Expire(Group& group) {
+  const auto gone = std::erase_if(group.members, [&](const auto& member) {
+    return member.second.expires_at <= this->loop.Now();
+  });
+  if (gone > 0) {
+    this->Deal(group);
+  }
+}
+
+void StoreModel::Join(ServerExchange& exchange, const std::string& body) {
+  const Json::Value call = ParseBody(body);
+  Group& group = this->groups[call["group"].asString()];
+  this->Expire(group);
+  const std::string member = call["member"].asString();
+  const bool is_new = !group.members.contains(member);
+  group.members[member].expires_at =
+      this->loop.Now() + ParseDuration(call["ttl_time"].asString())
+                             .value_or(seconds(1));
+  if (is_new) {
+    this->Deal(group);
+  }
+  Json::Value answer;
+  answer["generation"] = Json::UInt64(group.generation);
+  answer["ttl_time"] = call["ttl_time"];
+  answer["parts"] = Json::arrayValue;
+  for (std::size_t part = 0; part < group.owners.size(); ++part) {
+    if (group.owners[part] == member) {
+      Json::Value row;
+      row.append(call["topics"][0]);
+      row.append(Json::UInt64(part));
+      row.append(0);
+      answer["parts"].append(std::move(row));
+    }
+  }
+  exchange.Respond(200, {}, Render(answer));
+}
+
+void StoreModel::Leave(ServerExchange& exchange, const std::string& body) {
+  const Json::Value call = ParseBody(body);
+  Group& group = this->groups[call["group"].asString()];
+  if (group.members.erase(call["member"].asString()) > 0) {
+    this->Deal(group);
+  }
+  exchange.Respond(200, {}, "{}");
+}
+
+void StoreModel::Respond(const std::shared_ptr<ServerExchange>& exchange,
+                         int status,
+                         std::string body) {
+  if (this->slowness == Duration(0)) {
+    exchange->Respond(status, {}, std::move(body));
+    return;
+  }
+  const std::weak_ptr<ServerExchange> weak = exchange;
+  this->After(this->slowness, [weak, status, body = std::move(body)] {
+    const auto open = weak.lock();
+    if (open && !open->is_closed()) {
+      open->Respond(status, {}, body);
+    }
+  });
+}
+
+void StoreModel::After(Duration delay, std::function<void()> action) {
+  this->delayed.push_back(
+      std::make_unique<Timer>(this->loop, std::move(action)));
+  this->delayed.back()->StartOnce(delay);
+}
+
+}  // namespace parsleyquay
