gateway: Hold a flow while its timer runs; move only where there is another server

Cause: a late idempotent request that no other server could take was refused out of its own timer, which then started the timer of the destroyed flow: freed memory in libev's heap. Ruled out: garbled answers (none at that time), reused connections. The request waits on, too, where it was refused before its time was up.

Also: a request that may repeat counts as such only while a retry is left.

--- a/libraries/gateway/request_attempt.cc
+++ b/libraries/gateway/request_attempt.cc
@@ -301,13 +301,19 @@
 }
 
 bool RequestFlow::MayRetry(AttemptEnd end) const {
-  if (!this->is_body_held_whole || this->tried.size() >= kMostTried) {
+  return this->MaySendAgain(end, this->tried.size());
+}
+
+// Whether yet another server may be tried once `tried_servers` have been.
+bool RequestFlow::MaySendAgain(AttemptEnd end,
+                               std::size_t tried_servers) const {
+  if (!this->is_body_held_whole || tried_servers >= kMostTried) {
     return false;
   }
   if (end == AttemptEnd::kNeverSent) {
     return true;
   }
-  const auto reached = static_cast<long>(this->tried.size() - this->unreached);
+  const auto reached = static_cast<long>(tried_servers - this->unreached);
   return reached < std::max(1L, this->route().most_servers) &&
          HasRetry(this->parts.retry_budgets[this->service],
                   this->parts.retry_bound(), this->parts.place(),
@@ -371,7 +377,7 @@
 }
 
 // The answer is later than most. The server is doubted; what may run twice is
-// sent to another one while the first has given no sign.
+// sent to another one, if there is one, while the first has given no sign.
 void RequestFlow::OnOverdue() {
   if (!this->attempt.call || this->attempt.is_overdue) {
     return;
@@ -381,9 +387,21 @@
   const bool may_move =
       this->route().is_idempotent && this->attempt.status == 0 &&
       !this->context.is_leaving && this->MayRetry(AttemptEnd::kStalled);
-  if (may_move) {
-    this->EndAttempt(AttemptEnd::kStalled);
+  if (!may_move) {
+    return;
+  }
+  const auto lease = this->parts.servers.Take(this->MakeWish());
+  if (!lease) {
+    return;
   }
+  this->LogAttempt("moved");
+  this->attempt.call->Cancel();
+  this->may_have_run = true;
+  this->ReleaseServer(this->OutcomeOf(AttemptEnd::kStalled));
+  SpendRetry(this->parts.retry_budgets[this->service],
+             this->parts.retry_bound(), this->parts.place(),
+             this->context.Now());
+  this->Send(*lease);
 }
 
 void RequestFlow::LogAttempt(std::string_view outcome) const {
--- a/libraries/gateway/request_flow.cc
+++ b/libraries/gateway/request_flow.cc
@@ -188,13 +188,18 @@
   this->Place();
 }
 
+ServerWish RequestFlow::MakeWish() const {
+  return {.service = this->service,
+          .may_repeat = this->route().is_idempotent &&
+                        this->MaySendAgain(AttemptEnd::kServerError,
+                                           this->tried.size() + 1),
+          .is_bulk = this->route().is_bulk,
+          .time_left = this->time_left(),
+          .tried = this->tried};
+}
+
 void RequestFlow::Place() {
-  const auto lease = this->parts.servers.Take(
-      {.service = this->service,
-       .may_repeat = this->route().is_idempotent && this->tried.empty(),
-       .is_bulk = this->route().is_bulk,
-       .time_left = this->time_left(),
-       .tried = this->tried});
+  const auto lease = this->parts.servers.Take(this->MakeWish());
   if (lease) {
     this->Send(*lease);
     return;
@@ -207,12 +212,13 @@
 }
 
 void RequestFlow::OnTimer() {
-  if (this->is_closed) {
-    return;
-  }
+  // What follows may close the flow, and nothing else need hold it then.
+  const auto keep = this->shared_from_this();
   if (this->time_left() > Duration(0)) {
     this->OnOverdue();
-    this->StartTimer();
+    if (!this->is_closed) {
+      this->StartTimer();
+    }
     return;
   }
   if (!this->attempt.call) {
--- a/libraries/gateway/request_flow.h
+++ b/libraries/gateway/request_flow.h
@@ -62,6 +62,7 @@
   void CollectBody();
   void AskAllowance();
   void OnAllowance(const AllowanceVerdict& verdict);
+  ServerWish MakeWish() const;
   void Place();
   void Send(ServerLease lease);
   CallRequest MakeCall() const;
@@ -81,6 +82,7 @@
   void StartTimer();
   void OnOverdue();
   bool MayRetry(AttemptEnd end) const;
+  bool MaySendAgain(AttemptEnd end, std::size_t tried_servers) const;
   void OnCallerReady();
   void OnCallerGone();
   void Refuse(const Refusal& refusal);
--- a/tests/gateway/answers_test.cc
+++ b/tests/gateway/answers_test.cc
@@ -322,6 +322,24 @@
   CHECK(fixture.loop.Now() - began < milliseconds(650));
 }
 
+TEST_CASE("a late request waits on where no other server can take it") {
+  OneServer fixture([](const RawRequest&) { return RawAnswer{}; });
+  for (int i = 0; i < 20; ++i) {
+    const TimePoint began = fixture.loop.Now();
+    const SimpleAnswer answer =
+        fixture.Send("GET", "/safe/1", {{"Request-Deadline", "800"}});
+    CHECK(answer.status == 504);
+    CHECK(fixture.loop.Now() - began > milliseconds(750));
+  }
+}
+
+TEST_CASE("a late request that may repeat moves to another server") {
+  TwoServers fixture([](const RawRequest&) { return RawAnswer{}; });
+  const SimpleAnswer answer = fixture.SendUntilBad("GET", "/safe/1");
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "fine");
+}
+
 TEST_CASE("a caller that leaves ends the work at the server") {
   OneServer fixture([](const RawRequest&) { return RawAnswer{}; });
   const auto call =
--- a/utilities/cli/commands.h
+++ b/utilities/cli/commands.h
@@ -41,6 +41,7 @@
 int RunRemove(CommandContext& context, const Arguments& arguments);
 int RunStatus(CommandContext& context, const Arguments& arguments);
 int RunReport(CommandContext& context, const Arguments& arguments);
+int RunExplain(CommandContext& context, const Arguments& arguments);
 
 // Commands of callers.
 int RunResolve(CommandContext& context, const Arguments& arguments);
--- a/utilities/cli/parsleyquay.cc
+++ b/utilities/cli/parsleyquay.cc
@@ -30,7 +30,7 @@
   int (*run)(CommandContext&, const Arguments&);
 };
 
-constexpr std::array<Command, 11> kCommands = {{
+constexpr std::array<Command, 12> kCommands = {{
     {"validate", &RunValidate},
     {"diff", &RunDiff},
     {"publish", &RunPublish},
@@ -40,6 +40,7 @@
     {"remove", &RunRemove},
     {"status", &RunStatus},
     {"report", &RunReport},
+    {"explain", &RunExplain},
     {"resolve", &RunResolve},
     {"request", &RunRequest},
 }};
@@ -57,6 +58,8 @@
     "  parsleyquay remove INSTANCE        state that its process has ended\n"
     "  parsleyquay status                 what each instance says of itself\n"
     "  parsleyquay report [--html FILE]   service-level burn of the fleet\n"
+    "  parsleyquay explain ID LOG...      what collected logs say of a "
+    "request\n"
     "  parsleyquay resolve --key KEY      addresses for a caller to use\n"
     "  parsleyquay request METHOD PATH --key KEY [--body TEXT]\n"
     "                                     send one request through the fleet\n"
