mesh: Send the members of a large fleet in parts

A digest that names 850 members needs 85 KB, more than a datagram carries. Split at 60 members; tested without the network. No run at that size yet.

--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -23,6 +23,9 @@
 constexpr Duration kLongestDigestGap = milliseconds(500);
 constexpr Duration kHeartbeatInterval = milliseconds(1'000);
 
+// About 100 bytes each: a digest stays far below the largest datagram.
+constexpr std::size_t kMostMembers = 60;
+
 // Two missed digests and a margin.
 constexpr Duration kAggregatorSilence = milliseconds(1'100);
 
@@ -375,17 +378,23 @@
     this->members_sent_at = now;
   }
   digest.outcomes = std::exchange(this->own_domain_outcomes, {});
-  this->context.peers->SendToAll(this->OtherAggregatorAddresses(), kDigest,
-                                 EncodeDigest(digest, now));
+  this->SendInParts(this->OtherAggregatorAddresses(), digest);
   AddSummary(digest.outcomes, std::exchange(this->other_domain_outcomes, {}));
   if (names_members) {
     digest.members = this->DescribeMembers(MemberScope::kAll);
   }
-  this->context.peers->SendToAll(this->OwnDomainAddresses(), kDigest,
-                                 EncodeDigest(digest, now));
+  this->SendInParts(this->OwnDomainAddresses(), std::move(digest));
   this->digest_sent_at = now;
 }
 
+void MeshAgent::SendInParts(const std::vector<std::string>& addresses,
+                            Digest digest) {
+  for (const Digest& part : SplitMembers(std::move(digest), kMostMembers)) {
+    this->context.peers->SendToAll(addresses, kDigest,
+                                   EncodeDigest(part, this->context.Now()));
+  }
+}
+
 std::vector<DigestMember> MeshAgent::DescribeMembers(MemberScope scope) const {
   const TimePoint now = this->context.Now();
   std::vector<DigestMember> members;
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -82,6 +82,7 @@
   void ScheduleUrgentDigest();
   void SendHeartbeat();
   void SendDigest();
+  void SendInParts(const std::vector<std::string>& addresses, Digest digest);
   enum class MemberScope { kOwnDomain, kAll };
   std::vector<DigestMember> DescribeMembers(MemberScope scope) const;
   std::vector<std::string> OwnDomainAddresses() const;
--- a/libraries/mesh/digest.cc
+++ b/libraries/mesh/digest.cc
@@ -138,6 +138,24 @@
 
 }  // namespace
 
+std::vector<Digest> SplitMembers(Digest digest, std::size_t most) {
+  std::vector<DigestMember> members = std::move(digest.members);
+  digest.members.clear();
+  const Digest bare{.sender = digest.sender,
+                    .configuration_version = digest.configuration_version,
+                    .operator_position = digest.operator_position,
+                    .servers_from = digest.servers_to,
+                    .servers_to = digest.servers_to};
+  std::vector<Digest> parts = {std::move(digest)};
+  for (DigestMember& member : members) {
+    if (parts.back().members.size() == most) {
+      parts.push_back(bare);
+    }
+    parts.back().members.push_back(std::move(member));
+  }
+  return parts;
+}
+
 Json::Value EncodeHeartbeat(const Heartbeat& heartbeat) {
   Json::Value parameters;
   parameters["m"] = EncodeStatus(heartbeat.status);
--- a/libraries/mesh/digest.h
+++ b/libraries/mesh/digest.h
@@ -45,6 +45,10 @@
   bool operator==(const Digest&) const = default;
 };
 
+// Splits a digest so that each names no more than `most` members: a large fleet
+// does not fit one datagram. The first keeps all else.
+std::vector<Digest> SplitMembers(Digest digest, std::size_t most);
+
 // The parameters of a notification, as short arrays; times as milliseconds
 // before the moment of sending.
 Json::Value EncodeHeartbeat(const Heartbeat& heartbeat);
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -93,6 +93,29 @@
   CHECK(DecodeDigest(EncodeDigest(digest, kStart), kStart) == digest);
 }
 
+TEST_CASE("a large fleet's digest is sent in parts that lose nothing") {
+  Digest digest{.sender = "a", .servers_from = 3, .servers_to = 5};
+  digest.server_changes = {{"s2", std::nullopt}};
+  for (int i = 0; i < 130; ++i) {
+    digest.members.push_back({Member("m" + std::to_string(i), "x")});
+  }
+  const auto parts = SplitMembers(digest, 60);
+  REQUIRE(parts.size() == 3);
+  CHECK(parts[0].server_changes == digest.server_changes);
+  CHECK(parts[0].servers_from == 3);
+  std::vector<DigestMember> together;
+  for (const Digest& part : parts) {
+    CHECK(part.servers_to == 5);
+    CHECK(part.members.size() <= 60);
+    together.insert(together.end(), part.members.begin(), part.members.end());
+  }
+  CHECK(together == digest.members);
+  CHECK(parts[1].server_changes.empty());
+  CHECK(parts[1].servers_from == 5);
+  digest.members.clear();
+  CHECK(SplitMembers(digest, 60) == std::vector<Digest>{digest});
+}
+
 TEST_CASE("malformed messages are refused") {
   CHECK_FALSE(DecodeDigest(Json::Value(Json::objectValue), kStart));
   CHECK_FALSE(DecodeHeartbeat(Json::Value(Json::objectValue)));
