base, tests: Keep one copy of small conversions and of waiting on a loop

Seconds of a duration stood in four files, the unit interval in three, and waiting for a condition in three test supports. Behaviour is the same; the tests of the decisions, the store and the gateway pass.

--- a/libraries/allowance/allowance_home.cc
+++ b/libraries/allowance/allowance_home.cc
@@ -6,10 +6,6 @@
 
 namespace {
 
-double SecondsOf(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 Duration ToDuration(double in_seconds) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(in_seconds));
@@ -31,7 +27,7 @@
   BeginMetering(home, workspace, now);
   AllowanceBucket& bucket = home.buckets.at(workspace);
   const double gained =
-      SecondsOf(now - bucket.filled_at) * terms.requests_per_second;
+      ToSeconds(now - bucket.filled_at) * terms.requests_per_second;
   bucket.tokens = std::min(bucket.tokens + gained, std::max(1., terms.burst));
   bucket.filled_at = now;
   const double missing = std::max(0., 1 - bucket.tokens);
--- a/libraries/allowance/spare_share.cc
+++ b/libraries/allowance/spare_share.cc
@@ -17,7 +17,7 @@
                    const AllowanceTolerance& tolerance,
                    std::size_t rank,
                    std::size_t instances) {
-  const double window = std::chrono::duration<double>(tolerance.window).count();
+  const double window = ToSeconds(tolerance.window);
   const double usual = terms.requests_per_second * window + terms.burst;
   const double spare =
       (usual * tolerance.overshoot + tolerance.slack) * kSpareMargin;
--- a/libraries/base/clock.cc
+++ b/libraries/base/clock.cc
@@ -30,6 +30,10 @@
   return std::chrono::duration_cast<milliseconds>(now).count();
 }
 
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 long ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
--- a/libraries/base/clock.h
+++ b/libraries/base/clock.h
@@ -37,6 +37,8 @@
 // Whole milliseconds of a duration, rounded down.
 long ToMilliseconds(Duration duration);
 
+double ToSeconds(Duration duration);
+
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_BASE_CLOCK_H_
--- a/libraries/base/rate_meter.cc
+++ b/libraries/base/rate_meter.cc
@@ -12,8 +12,7 @@
 }  // namespace
 
 double RateAt(const RateMeter& meter, TimePoint now) {
-  const double age =
-      std::chrono::duration<double>(now - meter.updated_at).count();
+  const double age = ToSeconds(now - meter.updated_at);
   return meter.per_second * std::exp(-age / kMemorySeconds);
 }
 
--- /dev/null
+++ b/libraries/base/unit_interval.h
@@ -0,0 +1,17 @@
+#ifndef PARSLEYQUAY_BASE_UNIT_INTERVAL_H_
+#define PARSLEYQUAY_BASE_UNIT_INTERVAL_H_
+
+#include <cstdint>
+#include <limits>
+
+namespace parsleyquay {
+
+// Maps a number that is uniform over all values to one from 0 to 1.
+inline double ToUnitInterval(std::uint64_t random) {
+  return static_cast<double>(random) /
+         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_BASE_UNIT_INTERVAL_H_
--- a/libraries/belief/server_belief.cc
+++ b/libraries/belief/server_belief.cc
@@ -18,10 +18,6 @@
 constexpr double kOverdueRatio = 6;
 constexpr double kUnreachableRatio = 4;
 
-double SecondsOf(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 double LikelihoodRatio(const SpellModel& model, Outcome outcome) {
   switch (outcome) {
     case Outcome::kServed:
@@ -50,11 +46,11 @@
   if (now <= belief.updated_at) {
     return belief;
   }
-  const double cycle = SecondsOf(model.mean_cycle);
+  const double cycle = ToSeconds(model.mean_cycle);
   const double begin_rate = 1 / (cycle * (1 - model.spell_share));
   const double end_rate = 1 / (cycle * model.spell_share);
   const double kept =
-      std::exp(-(begin_rate + end_rate) * SecondsOf(now - belief.updated_at));
+      std::exp(-(begin_rate + end_rate) * ToSeconds(now - belief.updated_at));
   belief.spell_probability =
       model.spell_share + (belief.spell_probability - model.spell_share) * kept;
   belief.updated_at = now;
--- a/libraries/event/timer.cc
+++ b/libraries/event/timer.cc
@@ -4,14 +4,6 @@
 
 namespace parsleyquay {
 
-namespace {
-
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
-
 Timer::Timer(EventLoop& loop, std::function<void()> action)
     : loop(loop), action(std::move(action)) {
   ev_init(&this->watcher, &Timer::OnTimeout);
--- a/libraries/gateway/refusal.cc
+++ b/libraries/gateway/refusal.cc
@@ -18,8 +18,7 @@
 
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> text = {};
-  std::snprintf(text.data(), text.size(), "%.3f",
-                std::chrono::duration<double>(duration).count());
+  std::snprintf(text.data(), text.size(), "%.3f", ToSeconds(duration));
   return text.data();
 }
 
--- a/libraries/gateway/server_desk.cc
+++ b/libraries/gateway/server_desk.cc
@@ -28,10 +28,6 @@
 // A change of belief is logged when it passes this probability.
 constexpr double kDoubtfulProbability = 0.5;
 
-double SecondsOf(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 std::string ToPercent(double share) {
   return std::to_string(std::lround(share * 100));
 }
@@ -205,7 +201,7 @@
 }
 
 double ServerDesk::CurrentLoad(const ServerUse& use) const {
-  const double age = SecondsOf(this->context.Now() - use.reported_at);
+  const double age = ToSeconds(this->context.Now() - use.reported_at);
   return use.reported_load * std::exp(-age / kLoadFadeSeconds) +
          static_cast<double>(std::min(use.in_flight, use.sent_since_report));
 }
@@ -215,7 +211,7 @@
 double ServerDesk::BusyShare(const ServerUse& use,
                              const RosterEntry& entry) const {
   const double busy = RateAt(use.rate, this->context.Now()) *
-                      SecondsOf(this->UsualWork(entry.listing.service));
+                      ToSeconds(this->UsualWork(entry.listing.service));
   return busy / static_cast<double>(std::max(1L, entry.listing.slots));
 }
 
@@ -225,7 +221,7 @@
       FailureProbability(Fade(use.belief, this->model, now), this->model);
   const double path =
       use.path_fault *
-      std::exp(-SecondsOf(now - use.path_fault_at) / kPathFadeSeconds);
+      std::exp(-ToSeconds(now - use.path_fault_at) / kPathFadeSeconds);
   return 1 - (1 - pooled) * (1 - path);
 }
 
--- a/libraries/placement/exploration.cc
+++ b/libraries/placement/exploration.cc
@@ -1,7 +1,8 @@
 #include "placement/exploration.h"
 
 #include <algorithm>
-#include <limits>
+
+#include "base/unit_interval.h"
 
 namespace parsleyquay {
 
@@ -87,9 +88,7 @@
   const double share =
       std::min(kMostTrials, static_cast<double>(due) /
                                 std::max(1e-3, requests * kTrialSeconds));
-  const double drawn =
-      static_cast<double>(random) /
-      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const double drawn = ToUnitInterval(random);
   if (drawn >= share) {
     return std::nullopt;
   }
--- a/libraries/placement/placement.cc
+++ b/libraries/placement/placement.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <numeric>
 
+#include "base/unit_interval.h"
+
 namespace parsleyquay {
 
 namespace {
@@ -108,10 +110,8 @@
   std::ranges::transform(costs, weights.begin(), [&](double cost) {
     return std::exp((least - cost) / kTemperatureMilliseconds);
   });
-  double left =
-      std::accumulate(weights.begin(), weights.end(), 0.) *
-      (static_cast<double>(random) /
-       static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
+  double left = std::accumulate(weights.begin(), weights.end(), 0.) *
+                ToUnitInterval(random);
   const auto drawn = std::ranges::find_if(weights, [&](double weight) {
     left -= weight;
     return left < 0;
--- a/libraries/routing/routing_table.cc
+++ b/libraries/routing/routing_table.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <cctype>
-#include <limits>
 #include <numeric>
 #include <utility>
 
 #include "base/random_id.h"
+#include "base/unit_interval.h"
 
 namespace parsleyquay {
 
@@ -63,8 +63,7 @@
                       [](double sum, const WeightedService& part) {
                         return sum + part.weight;
                       });
-  double left = total * static_cast<double>(random) /
-                static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  double left = total * ToUnitInterval(random);
   const auto drawn =
       std::ranges::find_if(route.services, [&](const WeightedService& part) {
         left -= part.weight;
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -8,9 +8,11 @@
 #include <memory>
 
 #include "coordination/feed_follower.h"
+#include "http/http_server.h"
 #include "platform/platform_port.h"
 #include "store_model.h"
-#include "support/gateway_fixture.h"
+#include "support/await.h"
+#include "support/scripted_server.h"
 
 namespace parsleyquay {
 namespace {
@@ -43,13 +45,7 @@
 
   bool Await(const std::function<bool()>& condition,
              Duration patience = seconds(5)) {
-    bool is_over = false;
-    Timer limit(this->loop, [&] { is_over = true; });
-    limit.StartOnce(patience);
-    while (!condition() && !is_over) {
-      this->loop.RunOnce();
-    }
-    return condition();
+    return AwaitOn(this->loop, condition, patience);
   }
 
   EventLoop loop;
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -6,6 +6,7 @@
 
 #include "base/random_id.h"
 #include "platform/platform_dialect.h"
+#include "support/await.h"
 
 namespace parsleyquay {
 
@@ -139,13 +140,7 @@
 
 bool GatewayFixture::Await(const std::function<bool()>& condition,
                            Duration patience) {
-  bool is_over = false;
-  Timer limit(this->loop, [&] { is_over = true; });
-  limit.StartOnce(patience);
-  while (!condition() && !is_over) {
-    this->loop.RunOnce();
-  }
-  return condition();
+  return AwaitOn(this->loop, condition, patience);
 }
 
 void GatewayFixture::RunFor(Duration duration) {
--- a/tests/support/gateway_processes.cc
+++ b/tests/support/gateway_processes.cc
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "support/await.h"
+
 namespace parsleyquay {
 
 namespace {
@@ -221,15 +223,7 @@
 
 bool GatewayProcesses::Await(const std::function<bool()>& condition,
                              Duration patience) {
-  bool is_over = false;
-  Timer limit(this->loop, [&] { is_over = true; });
-  Timer wake(this->loop, [] {});
-  limit.StartOnce(patience);
-  wake.StartRepeating(milliseconds(20));
-  while (!condition() && !is_over) {
-    this->loop.RunOnce();
-  }
-  return condition();
+  return AwaitOn(this->loop, condition, patience);
 }
 
 void GatewayProcesses::RunFor(Duration duration) {
