mesh, gateway: Name the failure domains in one place; drop what nobody calls

Reading the whole change once more: the set of failure domains was collected in two loops, and two accessors and a field of the port were never read. Behaviour is the same: decisions, gateway answers, store faults and the tests of real processes pass; format, dependencies and the linter on the changed files are clean.

--- a/libraries/coordination/coordination_port.h
+++ b/libraries/coordination/coordination_port.h
@@ -54,7 +54,6 @@
 // Who has not renewed for `lifetime` may lose its duties to others.
 struct DutyGroup {
   long duty_count = 0;
-  Duration shortest_lifetime = Duration(0);
 
   // Joins or renews; nothing when the group cannot be reached.
   std::function<void(const std::string& member,
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -34,8 +34,6 @@
   // Takes over bounds that have changed. What is listened on stays.
   void UpdateSettings(const GatewaySettings& settings);
 
-  const GatewayMetrics& metrics() const { return this->context.metrics; }
-
  private:
   Gateway(EventLoop& loop,
           HttpClient& http,
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -424,10 +424,7 @@
 
 std::vector<std::string> MeshAgent::OtherAggregatorAddresses() const {
   const TimePoint now = this->context.Now();
-  std::set<std::string> domains;
-  for (const auto& [name, entry] : this->context.members.members) {
-    domains.insert(entry.status.record.failure_domain);
-  }
+  std::set<std::string> domains = FailureDomains(this->context.members);
   domains.erase(this->context.settings.failure_domain);
   std::vector<std::string> addresses;
   for (const std::string& domain : domains) {
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -62,8 +62,6 @@
   // Spreads that a request for the service ended without a success.
   void ReportUnserved(const std::string& service);
 
-  const MeshRole& role() const { return this->current_role; }
-
  private:
   void AgreeOnSecret();
   void OpenLink(const std::string& secret);
--- a/libraries/gateway/server_desk.cc
+++ b/libraries/gateway/server_desk.cc
@@ -91,14 +91,11 @@
     return found == rates.end() ? 0
                                 : RateAt(found->second, this->context.Now());
   };
-  std::set<std::string> domains;
-  for (const auto& [name, entry] : this->context.members.members) {
-    domains.insert(entry.status.record.failure_domain);
-  }
-  return {.served_per_second = rate_of(this->served_rates),
-          .unserved_per_second = rate_of(this->unserved_rates),
-          .near_share = 1 / static_cast<double>(
-                                std::max<std::size_t>(1, domains.size()))};
+  const std::size_t domains = FailureDomains(this->context.members).size();
+  return {
+      .served_per_second = rate_of(this->served_rates),
+      .unserved_per_second = rate_of(this->unserved_rates),
+      .near_share = 1 / static_cast<double>(std::max<std::size_t>(1, domains))};
 }
 
 void ServerDesk::Release(const ServerLease& lease,
--- a/libraries/mesh/member_table.cc
+++ b/libraries/mesh/member_table.cc
@@ -75,6 +75,15 @@
   return RankByRendezvous("aggregator", std::move(names));
 }
 
+std::set<std::string> FailureDomains(const MemberTable& table) {
+  std::set<std::string> domains;
+  std::ranges::transform(table.members, std::inserter(domains, domains.end()),
+                         [](const auto& item) {
+                           return item.second.status.record.failure_domain;
+                         });
+  return domains;
+}
+
 std::vector<std::string> AllMemberNames(const MemberTable& table) {
   std::vector<std::string> names;
   std::ranges::transform(table.members, std::back_inserter(names),
--- a/libraries/mesh/member_table.h
+++ b/libraries/mesh/member_table.h
@@ -2,6 +2,7 @@
 #define PARSLEYQUAY_MESH_MEMBER_TABLE_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,9 @@
                                          const std::string& failure_domain,
                                          TimePoint now);
 
+// The failure domains of all members, in alphabetical order.
+std::set<std::string> FailureDomains(const MemberTable& table);
+
 std::vector<std::string> AllMemberNames(const MemberTable& table);
 
 // The place of a member among all names, from 0.
