mesh: Name only members of whom there is news

Cause: at each change among members, and each second, an aggregator named all members (about 100 bytes each) to all of its failure domain: 121 x 30 rows, half a megabyte at once on links of 10 Mbit/s. Its own digests were lost with it, members passed it over every 3 s and found no home of an allowance.

A digest now names members of whom there is news, and for the rest one fingerprint of each failure domain. Whoever differs for 0.7 s asks for the whole domain; an aggregator answers one such question each 50 ms.

Ruled out: short rows of name and age for all (12.7 KB a second to each instance at 850 members); fewer, larger failure domains for control.

--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -16,6 +16,7 @@
 constexpr char kOutcome[] = "outcome";
 constexpr char kUnserved[] = "unserved";
 constexpr char kDigest[] = "digest";
+constexpr char kMembersWanted[] = "members_wanted";
 
 // Good outcomes are shared within 250 ms, failures at once.
 constexpr Duration kTick = milliseconds(250);
@@ -23,6 +24,13 @@
 constexpr Duration kLongestDigestGap = milliseconds(500);
 constexpr Duration kHeartbeatInterval = milliseconds(1'000);
 
+// Six of them go into the limit of a member's silence, so some may be lost.
+constexpr Duration kDomainsInterval = milliseconds(500);
+
+// An answer to one member may be 30 KB; at most 2 Mbit/s go to answers of a
+// fleet of 121, a fifth of the smallest link.
+constexpr Duration kAnswerGap = milliseconds(50);
+
 // About 100 bytes each: a digest stays far below the largest datagram.
 constexpr std::size_t kMostMembers = 60;
 
@@ -41,7 +49,8 @@
 constexpr Duration kStartTime = milliseconds(1'200);
 
 std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
-  methods.insert(methods.end(), {kHeartbeat, kOutcome, kUnserved, kDigest});
+  methods.insert(methods.end(),
+                 {kHeartbeat, kOutcome, kUnserved, kDigest, kMembersWanted});
   return methods;
 }
 
@@ -62,7 +71,8 @@
                            ChangeSet) { this->OnMemberChanges(changes); }}),
       tick_timer(context.loop, [this] { this->OnTick(); }),
       urgent_timer(context.loop, [this] { this->SendDigest(); }),
-      retry_timer(context.loop, [this] { this->AgreeOnSecret(); }) {}
+      retry_timer(context.loop, [this] { this->AgreeOnSecret(); }),
+      answer_timer(context.loop, [this] { this->AnswerQuestion(); }) {}
 
 void MeshAgent::Start() {
   this->started_at = this->context.Now();
@@ -78,7 +88,7 @@
   NoteStatus(this->context.members, this->OwnStatus(), Duration(0),
              this->context.Now());
   this->SendHeartbeat();
-  this->PassOnMembers();
+  this->PassOnMember(this->context.settings.name);
 }
 
 void MeshAgent::Leave(std::function<void()> on_done) {
@@ -195,6 +205,8 @@
     this->CollectUnserved(parameters["s"].asString());
   } else if (method == kDigest) {
     this->OnDigest(parameters);
+  } else if (method == kMembersWanted) {
+    this->OnQuestion(parameters);
   } else {
     this->handlers.on_message(method, parameters);
   }
@@ -215,18 +227,47 @@
               {"ready", status.is_ready ? "yes" : "no"},
               {"leaving", status.is_leaving ? "yes" : "no"},
               {"duties", std::to_string(status.duties.size())}});
-    this->PassOnMembers();
+    this->PassOnMember(status.record.name);
   }
 }
 
-// Names the members with the next digest, which is sent at once.
-void MeshAgent::PassOnMembers() {
-  this->members_sent_at = TimePoint();
+// Names the member with the next digest, which is sent at once.
+void MeshAgent::PassOnMember(const std::string& name) {
   if (this->current_role.is_aggregator) {
+    this->news.changed.insert(name);
     this->ScheduleUrgentDigest();
   }
 }
 
+void MeshAgent::OnQuestion(const Json::Value& parameters) {
+  const auto question = DecodeQuestion(parameters);
+  if (!question) {
+    Count(this->context.metrics, "peer_messages_malformed");
+    return;
+  }
+  if (this->news.questions.empty()) {
+    this->answer_timer.StartOnce(kAnswerGap);
+  }
+  this->news.questions[question->sender].insert(question->domains.begin(),
+                                                question->domains.end());
+}
+
+void MeshAgent::AnswerQuestion() {
+  const auto question =
+      this->news.questions.extract(this->news.questions.begin());
+  const std::string address = this->AddressOf(question.key());
+  if (!address.empty()) {
+    Count(this->context.metrics, "member_lists_sent");
+    this->SendInParts({address}, {.sender = this->context.settings.name,
+                                  .members = DescribeDomains(
+                                      this->context.members, question.mapped(),
+                                      this->context.Now())});
+  }
+  if (!this->news.questions.empty()) {
+    this->answer_timer.StartOnce(kAnswerGap);
+  }
+}
+
 void MeshAgent::OnOutcome(const Json::Value& parameters) {
   const auto report = DecodeOutcome(parameters);
   if (!report) {
@@ -260,17 +301,7 @@
     Count(this->context.metrics, "peer_messages_malformed");
     return;
   }
-  bool has_member_news = false;
-  for (const DigestMember& member : digest->members) {
-    if (member.status.record.name != this->context.settings.name) {
-      has_member_news =
-          NoteStatus(this->context.members, member.status, member.age, now) ||
-          has_member_news;
-    }
-  }
-  if (has_member_news) {
-    this->PassOnMembers();
-  }
+  this->NoteMembers(*digest);
   const auto sender = this->context.members.members.find(digest->sender);
   if (sender != this->context.members.members.end()) {
     sender->second.heard_at = now;
@@ -281,6 +312,7 @@
   if (is_own_aggregator) {
     this->digest_at = now;
   }
+  this->NoteDomains(*digest);
   this->handlers.on_outcomes(digest->outcomes);
   this->handlers.on_digest(*digest);
   if (this->current_role.is_aggregator) {
@@ -292,6 +324,46 @@
   this->UpdateRole();
 }
 
+void MeshAgent::NoteMembers(const Digest& digest) {
+  for (const DigestMember& member : digest.members) {
+    const std::string& name = member.status.record.name;
+    if (name != this->context.settings.name &&
+        NoteStatus(this->context.members, member.status, member.age,
+                   this->context.Now())) {
+      this->PassOnMember(name);
+    }
+  }
+}
+
+void MeshAgent::NoteDomains(const Digest& digest) {
+  MembersQuestion question{.sender = this->context.settings.name};
+  for (const auto& [domain, view] : digest.domains) {
+    if (this->speaks_for(digest.sender, domain) &&
+        NoteDomainView(this->news, this->context.members, domain, view,
+                       this->context.Now())) {
+      question.domains.push_back(domain);
+    }
+  }
+  if (!question.domains.empty() && this->context.peers) {
+    Count(this->context.metrics, "member_lists_wanted");
+    this->context.peers->Send(this->AddressOf(digest.sender), kMembersWanted,
+                              EncodeQuestion(question));
+  }
+}
+
+// Aggregators hear of each failure domain from its own aggregator, and the
+// members of a domain of all from theirs.
+bool MeshAgent::speaks_for(const std::string& member,
+                           const std::string& failure_domain) const {
+  if (!this->current_role.is_aggregator) {
+    return !this->aggregators.empty() && this->aggregators.front() == member;
+  }
+  const auto found = this->context.members.members.find(member);
+  return found != this->context.members.members.end() &&
+         found->second.status.record.failure_domain == failure_domain &&
+         failure_domain != this->context.settings.failure_domain;
+}
+
 void MeshAgent::OnTick() {
   const TimePoint now = this->context.Now();
   NoteStatus(this->context.members, this->OwnStatus(), Duration(0), now);
@@ -372,18 +444,25 @@
   const TimePoint now = this->context.Now();
   Digest digest{.sender = this->context.settings.name};
   this->handlers.fill_digest(digest);
-  const bool names_members = now - this->members_sent_at >= kHeartbeatInterval;
-  if (names_members) {
-    digest.members = this->DescribeMembers(MemberScope::kOwnDomain);
-    this->members_sent_at = now;
-  }
+  const std::string& own_domain = this->context.settings.failure_domain;
+  const bool is_domains_due = now - this->domains_sent_at >= kDomainsInterval;
+  if (is_domains_due) {
+    this->domains_sent_at = now;
+    NoteSilentMembers(this->news, this->context.members, now);
+    digest.domains[own_domain] =
+        ViewDomain(this->context.members, own_domain, now);
+  }
+  digest.members =
+      DescribeChanged(this->news, this->context.members, own_domain, now);
   digest.outcomes = std::exchange(this->own_domain_outcomes, {});
   this->SendInParts(this->OtherAggregatorAddresses(), digest);
   AddSummary(digest.outcomes, std::exchange(this->other_domain_outcomes, {}));
-  if (names_members) {
-    digest.members = this->DescribeMembers(MemberScope::kAll);
+  digest.members = DescribeChanged(this->news, this->context.members, "", now);
+  if (is_domains_due) {
+    digest.domains = this->AllDomainViews();
   }
   this->SendInParts(this->OwnDomainAddresses(), std::move(digest));
+  this->news.changed.clear();
   this->digest_sent_at = now;
 }
 
@@ -395,18 +474,13 @@
   }
 }
 
-std::vector<DigestMember> MeshAgent::DescribeMembers(MemberScope scope) const {
-  const TimePoint now = this->context.Now();
-  std::vector<DigestMember> members;
-  for (const auto& [name, entry] : this->context.members.members) {
-    const bool is_wanted =
-        scope == MemberScope::kAll || entry.status.record.failure_domain ==
-                                          this->context.settings.failure_domain;
-    if (is_wanted && IsAlive(entry, now)) {
-      members.push_back({entry.status, now - entry.heard_at});
-    }
+std::map<std::string, DomainView> MeshAgent::AllDomainViews() const {
+  std::map<std::string, DomainView> views;
+  for (const std::string& domain : FailureDomains(this->context.members)) {
+    views[domain] =
+        ViewDomain(this->context.members, domain, this->context.Now());
   }
-  return members;
+  return views;
 }
 
 std::vector<std::string> MeshAgent::OwnDomainAddresses() const {
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -11,6 +11,7 @@
 #include "event/timer.h"
 #include "gateway/gateway_context.h"
 #include "mesh/digest.h"
+#include "mesh/member_news.h"
 
 namespace parsleyquay {
 
@@ -69,7 +70,13 @@
   void OnMemberChanges(const std::vector<MemberChange>& changes);
   void OnPeerMessage(const std::string& method, const Json::Value& parameters);
   void OnHeartbeat(const Json::Value& parameters);
-  void PassOnMembers();
+  void PassOnMember(const std::string& name);
+  void OnQuestion(const Json::Value& parameters);
+  void AnswerQuestion();
+  void NoteMembers(const Digest& digest);
+  void NoteDomains(const Digest& digest);
+  bool speaks_for(const std::string& member,
+                  const std::string& failure_domain) const;
   void OnOutcome(const Json::Value& parameters);
   void OnDigest(const Json::Value& parameters);
   void OnTick();
@@ -81,8 +88,7 @@
   void SendHeartbeat();
   void SendDigest();
   void SendInParts(const std::vector<std::string>& addresses, Digest digest);
-  enum class MemberScope { kOwnDomain, kAll };
-  std::vector<DigestMember> DescribeMembers(MemberScope scope) const;
+  std::map<std::string, DomainView> AllDomainViews() const;
   std::vector<std::string> OwnDomainAddresses() const;
   std::vector<std::string> OtherAggregatorAddresses() const;
   std::string AddressOf(const std::string& name) const;
@@ -96,6 +102,7 @@
   Timer tick_timer;
   Timer urgent_timer;
   Timer retry_timer;
+  Timer answer_timer;
   TimePoint started_at;
   bool has_read_again = false;
   MeshRole current_role;
@@ -105,7 +112,8 @@
   OutcomeSummary own_domain_outcomes;
   OutcomeSummary other_domain_outcomes;
   TimePoint digest_sent_at;
-  TimePoint members_sent_at;
+  MemberNews news;
+  TimePoint domains_sent_at;
   TimePoint heartbeat_sent_at;
 };
 
--- a/libraries/mesh/digest.cc
+++ b/libraries/mesh/digest.cc
@@ -103,7 +103,8 @@
   return change;
 }
 
-// A row holds the name, the age, the load, then a count for each outcome.
+// A row holds the name, the age, the load, then a count for each outcome up to
+// the last that is not zero.
 Json::Value EncodeSummary(const std::string& name,
                           const ServerSummary& server,
                           TimePoint now) {
@@ -111,7 +112,11 @@
   row.append(name);
   row.append(Json::Int64(ToMilliseconds(now - server.newest_at)));
   row.append(Json::Int64(server.load));
-  for (int outcome = 0; outcome < kOutcomeCount; ++outcome) {
+  if (server.counts.empty()) {
+    return row;
+  }
+  const int last = static_cast<int>(server.counts.rbegin()->first);
+  for (int outcome = 0; outcome <= last; ++outcome) {
     const auto count = server.counts.find(static_cast<Outcome>(outcome));
     row.append(Json::Int64(count == server.counts.end() ? 0 : count->second));
   }
@@ -185,6 +190,11 @@
     row.append(Json::Int64(ToMilliseconds(member.age)));
     parameters["m"].append(std::move(row));
   }
+  for (const auto& [domain, view] : digest.domains) {
+    Json::Value& row = parameters["d"][domain];
+    row.append(Json::UInt64(view.fingerprint));
+    row.append(Json::Int64(ToMilliseconds(view.age)));
+  }
   for (const auto& [name, server] : digest.outcomes.servers) {
     parameters["o"].append(EncodeSummary(name, server, now));
   }
@@ -214,6 +224,11 @@
     digest.members.push_back(
         {DecodeStatus(row), milliseconds(row[kAge].asInt64())});
   }
+  for (const std::string& domain : parameters["d"].getMemberNames()) {
+    const Json::Value& row = parameters["d"][domain];
+    digest.domains[domain] = {.fingerprint = row[0].asUInt64(),
+                              .age = milliseconds(row[1].asInt64())};
+  }
   for (const Json::Value& row : parameters["o"]) {
     DecodeSummary(row, digest.outcomes, now);
   }
@@ -224,6 +239,26 @@
   return digest;
 }
 
+Json::Value EncodeQuestion(const MembersQuestion& question) {
+  Json::Value parameters;
+  parameters["f"] = question.sender;
+  for (const std::string& domain : question.domains) {
+    parameters["d"].append(domain);
+  }
+  return parameters;
+}
+
+std::optional<MembersQuestion> DecodeQuestion(const Json::Value& parameters) {
+  if (!parameters["f"].isString() || !parameters["d"].isArray()) {
+    return std::nullopt;
+  }
+  MembersQuestion question{.sender = parameters["f"].asString()};
+  std::ranges::transform(
+      parameters["d"], std::back_inserter(question.domains),
+      [](const Json::Value& domain) { return domain.asString(); });
+  return question;
+}
+
 Json::Value EncodeOutcome(const OutcomeReport& report) {
   Json::Value parameters;
   parameters["s"] = report.server;
--- a/libraries/mesh/digest.h
+++ b/libraries/mesh/digest.h
@@ -4,6 +4,7 @@
 #include <json/json.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,12 +40,21 @@
   std::uint64_t servers_from = 0;
   std::uint64_t servers_to = 0;
   std::vector<ServerChange> server_changes;
-  std::vector<DigestMember> members;  // empty: nothing said of them
+  std::vector<DigestMember> members;  // those of whom there is news
+  std::map<std::string, DomainView> domains;
   OutcomeSummary outcomes;
 
   bool operator==(const Digest&) const = default;
 };
 
+// A question to an aggregator that knows some failure domains otherwise.
+struct MembersQuestion {
+  std::string sender;
+  std::vector<std::string> domains;
+
+  bool operator==(const MembersQuestion&) const = default;
+};
+
 // Splits a digest so that each names no more than `most` members: a large fleet
 // does not fit one datagram. The first keeps all else.
 std::vector<Digest> SplitMembers(Digest digest, std::size_t most);
@@ -56,6 +66,8 @@
 Json::Value EncodeDigest(const Digest& digest, TimePoint now);
 std::optional<Digest> DecodeDigest(const Json::Value& parameters,
                                    TimePoint now);
+Json::Value EncodeQuestion(const MembersQuestion& question);
+std::optional<MembersQuestion> DecodeQuestion(const Json::Value& parameters);
 Json::Value EncodeOutcome(const OutcomeReport& report);
 std::optional<OutcomeReport> DecodeOutcome(const Json::Value& parameters);
 
--- a/libraries/mesh/member_table.cc
+++ b/libraries/mesh/member_table.cc
@@ -13,6 +13,20 @@
 // still be on their way.
 constexpr Duration kSuspicion = seconds(3);
 
+bool IsMemberOf(const MemberEntry& entry, const std::string& failure_domain) {
+  return entry.status.record.failure_domain == failure_domain;
+}
+
+std::uint64_t FingerprintOf(const MemberStatus& status) {
+  std::string text = status.record.name;
+  text += status.is_ready ? " ready" : "";
+  text += status.is_leaving ? " leaving" : "";
+  for (const long duty : status.duties) {
+    text += ' ' + std::to_string(duty);
+  }
+  return RendezvousWeight(status.record.incarnation, text);
+}
+
 }  // namespace
 
 bool NoteStatus(MemberTable& table,
@@ -21,9 +35,10 @@
                 TimePoint now) {
   MemberEntry& entry = table.members[status.record.name];
   const TimePoint heard_at = now - age;
-  if (heard_at < entry.heard_at) {
+  if (heard_at < entry.heard_at && !entry.is_vouched) {
     return false;
   }
+  entry.is_vouched = false;
   const bool is_new_life =
       entry.status.record.incarnation != status.record.incarnation;
   if (is_new_life) {
@@ -59,6 +74,38 @@
   return now - entry.heard_at < kSilenceLimit;
 }
 
+DomainView ViewDomain(const MemberTable& table,
+                      const std::string& failure_domain,
+                      TimePoint now) {
+  DomainView view{.age = kSilenceLimit};
+  for (const auto& [name, entry] : table.members) {
+    if (IsMemberOf(entry, failure_domain) && IsAlive(entry, now)) {
+      // The sum is the same in whichever order members are added.
+      view.fingerprint += FingerprintOf(entry.status);
+      view.age = std::min(view.age, now - entry.heard_at);
+    }
+  }
+  return view;
+}
+
+bool ConfirmDomain(MemberTable& table,
+                   const std::string& failure_domain,
+                   const DomainView& view,
+                   TimePoint now) {
+  if (ViewDomain(table, failure_domain, now).fingerprint != view.fingerprint) {
+    return false;
+  }
+  const TimePoint heard_at = now - view.age;
+  for (auto& [name, entry] : table.members) {
+    if (IsMemberOf(entry, failure_domain) && IsAlive(entry, now) &&
+        entry.heard_at < heard_at) {
+      entry.heard_at = heard_at;
+      entry.is_vouched = true;
+    }
+  }
+  return true;
+}
+
 std::vector<std::string> RankAggregators(const MemberTable& table,
                                          const std::string& failure_domain,
                                          TimePoint now) {
--- a/libraries/mesh/member_table.h
+++ b/libraries/mesh/member_table.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_MESH_MEMBER_TABLE_H_
 #define PARSLEYQUAY_MESH_MEMBER_TABLE_H_
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -24,12 +25,24 @@
 struct MemberEntry {
   MemberStatus status;
   TimePoint heard_at;  // when it was last known to live
+  // `heard_at` stands for the whole failure domain, see `ConfirmDomain`; what
+  // is said of the member itself goes before it.
+  bool is_vouched = false;
   // When its silence as an aggregator was noticed, and until when that counts.
   TimePoint suspected_until;
 
   bool operator==(const MemberEntry&) const = default;
 };
 
+// What an aggregator knows of a whole failure domain, in a few bytes: who lives
+// there and what each last said of itself.
+struct DomainView {
+  std::uint64_t fingerprint = 0;
+  Duration age = Duration(0);  // since somebody of it was heard
+
+  bool operator==(const DomainView&) const = default;
+};
+
 // The instances of the fleet, as one of them knows them.
 struct MemberTable {
   std::map<std::string, MemberEntry> members;
@@ -58,6 +71,19 @@
 
 bool IsAlive(const MemberEntry& entry, TimePoint now);
 
+// What the table says of one failure domain.
+DomainView ViewDomain(const MemberTable& table,
+                      const std::string& failure_domain,
+                      TimePoint now);
+
+// Takes all members of a failure domain for heard `view.age` ago if the table
+// agrees with the view. Returns whether it does. Comparing fingerprints before
+// contents is anti-entropy (Demers et al., 1987, section 1.3).
+bool ConfirmDomain(MemberTable& table,
+                   const std::string& failure_domain,
+                   const DomainView& view,
+                   TimePoint now);
+
 // The members of a failure domain that may collect and pass on what the others
 // say, the first first. Every member ranks them alike.
 std::vector<std::string> RankAggregators(const MemberTable& table,
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "mesh/digest.h"
+#include "mesh/member_news.h"
 #include "mesh/member_table.h"
 #include "mesh/outcome_summary.h"
 
@@ -87,6 +88,7 @@
                            .sequence = 4}},
       {"s2", std::nullopt}};
   digest.members = {{Member("b", "x"), milliseconds(40)}};
+  digest.domains = {{"x", {.fingerprint = ~0ULL, .age = milliseconds(30)}}};
   AddOutcome(digest.outcomes, {"s1", Outcome::kFailed, 2}, kStart);
   AddOutcome(digest.outcomes, {"s1", Outcome::kServed, -1}, kStart);
   digest.outcomes.unserved_by_service["lookup"] = 2;
@@ -116,7 +118,95 @@
   CHECK(SplitMembers(digest, 60) == std::vector<Digest>{digest});
 }
 
+TEST_CASE("a fingerprint keeps a whole failure domain alive") {
+  MemberTable table = FiveMembers();
+  const MemberTable other = table;
+  const TimePoint later = kStart + seconds(3);
+  const DomainView view{
+      .fingerprint = ViewDomain(other, "x", kStart).fingerprint,
+      .age = milliseconds(100)};
+  SECTION("where both know the same of it") {
+    CHECK(ConfirmDomain(table, "x", view, later));
+    CHECK(CountAlive(table, kStart + kSilenceLimit) == 5);
+    CHECK(CountAlive(table, later + kSilenceLimit - milliseconds(100)) == 0);
+  }
+  SECTION("not where one has said something else since") {
+    MemberStatus changed = Member("a", "x");
+    changed.duties = {4};
+    NoteStatus(table, changed, Duration(0), later);
+    CHECK_FALSE(ConfirmDomain(table, "x", view, later));
+    CHECK(CountAlive(table, kStart + kSilenceLimit) == 1);
+  }
+  SECTION("but for a member that is known to be silent") {
+    REQUIRE(ConfirmDomain(table, "x", view, later));
+    NoteStatus(table, Member("b", "x"), kSilenceLimit, later);
+    CHECK_FALSE(IsAlive(table.members.at("b"), later));
+    CHECK(IsAlive(table.members.at("a"), later));
+  }
+}
+
+TEST_CASE("whoever has lost a digest asks for the failure domain") {
+  MemberTable aggregator = FiveMembers();
+  MemberTable member = FiveMembers();
+  MemberStatus changed = Member("a", "x");
+  changed.is_leaving = true;
+  NoteStatus(aggregator, changed, Duration(0), kStart + milliseconds(1));
+  MemberNews news;
+  const auto hear = [&](TimePoint now) {
+    return NoteDomainView(news, member, "x", ViewDomain(aggregator, "x", now),
+                          now);
+  };
+  CHECK_FALSE(hear(kStart + milliseconds(10)));  // it may be on its way
+  CHECK_FALSE(hear(kStart + milliseconds(510)));
+  CHECK(hear(kStart + milliseconds(1'010)));
+  CHECK_FALSE(hear(kStart + milliseconds(1'510)));  // asked a moment ago
+  CHECK(hear(kStart + milliseconds(2'600)));
+  for (const DigestMember& each :
+       DescribeDomains(aggregator, {"x"}, kStart + milliseconds(2'700))) {
+    NoteStatus(member, each.status, each.age, kStart + milliseconds(2'700));
+  }
+  CHECK_FALSE(hear(kStart + milliseconds(2'710)));
+  CHECK(news.disagreements.empty());
+  CHECK(member.members.at("a").status.is_leaving);
+}
+
+TEST_CASE("a digest of a quiet fleet does not grow with its members") {
+  const auto bytes_of = [](int count) {
+    MemberTable table;
+    MemberNews news;
+    for (int i = 0; i < count; ++i) {
+      NoteStatus(table, Member("m" + std::to_string(i), "x"), Duration(0),
+                 kStart);
+    }
+    NoteSilentMembers(news, table, kStart);
+    const Digest digest{.sender = "m0",
+                        .members = DescribeChanged(news, table, "", kStart),
+                        .domains = {{"x", ViewDomain(table, "x", kStart)}}};
+    return EncodeDigest(digest, kStart).toStyledString().size();
+  };
+  // But for the digits of a random number.
+  CHECK(bytes_of(850) < bytes_of(36) + 20);
+}
+
+TEST_CASE("a member is named when its silence is noticed, and not for ever") {
+  MemberTable table = FiveMembers();
+  const TimePoint silent = kStart + kSilenceLimit;
+  for (const char* name : {"b", "c", "d", "e", "f"}) {
+    NoteStatus(table, Member(name, name[0] == 'f' ? "y" : "x"), Duration(0),
+               silent);
+  }
+  MemberNews news;
+  NoteSilentMembers(news, table, silent);
+  CHECK(news.changed == std::set<std::string>{"a"});
+  CHECK(DescribeChanged(news, table, "y", silent).empty());
+  CHECK(DescribeChanged(news, table, "x", silent).front().age == kSilenceLimit);
+  MemberNews later;
+  NoteSilentMembers(later, table, silent + seconds(2));
+  CHECK(later.changed.empty());
+}
+
 TEST_CASE("malformed messages are refused") {
+  CHECK_FALSE(DecodeQuestion(Json::Value(Json::objectValue)));
   CHECK_FALSE(DecodeDigest(Json::Value(Json::objectValue), kStart));
   CHECK_FALSE(DecodeHeartbeat(Json::Value(Json::objectValue)));
   Json::Value outcome;
