mesh, allowance: Prefer aggregators with much to work with; settle before taking duties

Members now say what they have to work with (processor, link), and rank aggregators by that in tenths before the hash. An instance takes part in duties when it has been first or second for 1.5 s (4 s where it hears fewer than half of the members) and stops after 5 s of being neither.

Ruled out: the store's leases (dealt as asked); asks lost on the way (own home and peer home answered in the same seconds in which 80 % had none).

Left: no homes for 4 s after many instances end at once.

--- /dev/null
+++ b/libraries/allowance/duty_eligibility.cc
@@ -0,0 +1,37 @@
+#include "allowance/duty_eligibility.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// All members that start at once have read each other's records by then.
+constexpr Duration kJoinAfter = milliseconds(1'500);
+
+// Longer than a member's silence lasts before it is taken for dead: an instance
+// that is only cut off finds so first, and one whose peers all died serves on.
+constexpr Duration kJoinAloneAfter = milliseconds(4'000);
+
+// Longer than an aggregator is passed over for a lost digest or two.
+constexpr Duration kLeaveAfter = milliseconds(5'000);
+
+}  // namespace
+
+void UpdateEligibility(DutyEligibility& eligibility,
+                       const DutyStanding& standing,
+                       TimePoint now) {
+  if (eligibility.candidate_since == TimePoint() ||
+      eligibility.is_candidate != standing.is_candidate) {
+    eligibility.is_candidate = standing.is_candidate;
+    eligibility.candidate_since = now;
+  }
+  const Duration lasted = now - eligibility.candidate_since;
+  if (!standing.is_candidate) {
+    eligibility.takes_part = eligibility.takes_part && lasted < kLeaveAfter;
+    return;
+  }
+  const Duration join_after =
+      standing.hears_most ? kJoinAfter : kJoinAloneAfter;
+  eligibility.takes_part = eligibility.takes_part || lasted >= join_after;
+}
+
+}  // namespace parsleyquay
--- a/libraries/coordination/member_record.h
+++ b/libraries/coordination/member_record.h
@@ -6,6 +6,14 @@
 
 namespace parsleyquay {
 
+// What an instance has to work with.
+struct Capacity {
+  double processor = 1;  // cores
+  double link = 1'000;   // Mbit/s
+
+  auto operator<=>(const Capacity&) const = default;
+};
+
 // One instance of the fleet, as the others find it.
 struct MemberRecord {
   std::string name;
@@ -13,6 +21,7 @@
   std::string request_address;  // "ip:port" for callers
   std::string peer_address;     // "ip:port" for other instances
   std::string incarnation;      // new with each start of the process
+  Capacity capacity;
 
   auto operator<=>(const MemberRecord&) const = default;
 };
--- a/libraries/gateway/allowance_desk.cc
+++ b/libraries/gateway/allowance_desk.cc
@@ -20,9 +20,7 @@
 constexpr Duration kDutyLifetime = seconds(5);
 constexpr Duration kRenewInterval = milliseconds(600);
 constexpr Duration kRenewSoon = milliseconds(40);
-// Until then a started process has read who the other members are; before, each
-// takes itself for the first.
-constexpr Duration kSettleTime = milliseconds(600);
+constexpr Duration kStandingInterval = milliseconds(250);
 // A holder stops that long before others may begin.
 constexpr Duration kDutyMargin = milliseconds(200);
 
@@ -59,21 +57,36 @@
     : context(context),
       on_duties(std::move(on_duties)),
       renew_timer(context.loop, [this] { this->Renew(); }),
-      settle_timer(context.loop, [this] { this->Settle(); }) {}
+      standing_timer(context.loop, [this] { this->Reconsider(); }) {}
 
 void AllowanceDesk::Start() {
-  this->settle_timer.StartOnce(kSettleTime);
+  this->standing_timer.StartRepeating(kStandingInterval);
 }
 
-// Duties that an earlier life of this process held are given back unless this
-// one takes them up: nobody else could, until they lapse.
-void AllowanceDesk::Settle() {
-  this->is_settled = true;
-  if (this->is_eligible) {
+void AllowanceDesk::SetCandidate(bool candidate) {
+  this->is_candidate = candidate;
+}
+
+void AllowanceDesk::Reconsider() {
+  const TimePoint now = this->context.Now();
+  const bool took_part = this->eligibility.takes_part;
+  UpdateEligibility(this->eligibility,
+                    {.is_candidate = this->is_candidate,
+                     .hears_most = CountAlive(this->context.members, now) * 2 >=
+                                   this->context.member_count()},
+                    now);
+  if (this->eligibility.takes_part && !took_part) {
+    this->has_given_back = true;
     this->Renew();
-    return;
+  } else if (!this->eligibility.takes_part && took_part) {
+    this->HandBack();
+  }
+  // Nobody else could take up what an earlier life of this process held until
+  // it lapses.
+  if (!this->is_candidate && !this->has_given_back) {
+    this->has_given_back = true;
+    this->context.port.duties.leave(this->context.settings.name, [] {});
   }
-  this->context.port.duties.leave(this->context.settings.name, [] {});
 }
 
 std::vector<std::string> AllowanceDesk::Methods() {
@@ -111,21 +124,6 @@
   this->OnGrant(parameters);
 }
 
-void AllowanceDesk::SetEligible(bool eligible) {
-  if (this->is_eligible == eligible || this->context.is_leaving) {
-    return;
-  }
-  this->is_eligible = eligible;
-  if (!this->is_settled) {
-    return;
-  }
-  if (eligible) {
-    this->Renew();
-    return;
-  }
-  this->Leave();
-}
-
 void AllowanceDesk::OnConfiguration() {
   const TimePoint now = this->context.Now();
   for (const auto& [name, terms] :
@@ -142,9 +140,13 @@
 }
 
 void AllowanceDesk::Leave() {
+  this->standing_timer.Stop();
+  this->eligibility = {};
+  this->HandBack();
+}
+
+void AllowanceDesk::HandBack() {
   this->renew_timer.Stop();
-  this->settle_timer.Stop();
-  this->is_eligible = false;
   if (!this->assignment.duties.empty()) {
     LogEvent(LogLevel::kInfo, "duties_handed_back",
              {{"generation", std::to_string(this->assignment.generation)}});
@@ -170,7 +172,7 @@
 void AllowanceDesk::OnAssignment(std::optional<DutyAssignment> dealt,
                                  TimePoint sent_at,
                                  Duration lifetime) {
-  if (!dealt || !this->is_eligible) {
+  if (!dealt || !this->eligibility.takes_part) {
     return;
   }
   const std::vector<long> held = this->HeldDuties();
--- a/libraries/gateway/allowance_desk.h
+++ b/libraries/gateway/allowance_desk.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "allowance/allowance_home.h"
+#include "allowance/duty_eligibility.h"
 #include "allowance/spare_share.h"
 #include "event/timer.h"
 #include "gateway/gateway_context.h"
@@ -46,7 +47,7 @@
   // `on_duties` is called when the duties that are held have changed.
   AllowanceDesk(GatewayContext& context, std::function<void()> on_duties);
 
-  // Takes up, or lays down, the duties once the other members are known.
+  // From now on takes up, or lays down, duties by this instance's standing.
   void Start();
 
   // The methods of its messages.
@@ -62,8 +63,8 @@
 
   void OnMessage(const std::string& method, const Json::Value& parameters);
 
-  // Whether this instance takes part in the duties.
-  void SetEligible(bool is_eligible);
+  // Whether this instance is one of those that should hold duties.
+  void SetCandidate(bool is_candidate);
 
   // Begins to meter what a new configuration brought.
   void OnConfiguration();
@@ -84,7 +85,8 @@
     std::unique_ptr<Timer> timer;
   };
 
-  void Settle();
+  void Reconsider();
+  void HandBack();
   void Renew();
   void OnAssignment(std::optional<DutyAssignment> assignment,
                     TimePoint sent_at,
@@ -109,9 +111,10 @@
   GatewayContext& context;
   std::function<void()> on_duties;
   Timer renew_timer;
-  Timer settle_timer;
-  bool is_settled = false;
-  bool is_eligible = false;
+  Timer standing_timer;
+  DutyEligibility eligibility;
+  bool is_candidate = false;
+  bool has_given_back = false;  // what an earlier life of this process held
   DutyAssignment assignment;
   TimePoint held_until;
   AllowanceHome home;
--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -13,6 +13,8 @@
 
 constexpr NumberRange kShareRange = {0, 100};
 constexpr NumberRange kCountRange = {0, 1'000'000};
+constexpr NumberRange kCoreRange = {0.001, 1'000};
+constexpr NumberRange kLinkRange = {0.01, 1'000'000};  // Mbit/s
 constexpr NumberRange kDutyRange = {1, 10'000};
 
 std::string ReadAddress(SectionReader& reader, const std::string& key) {
@@ -35,6 +37,10 @@
 void ReadInstance(SectionReader& reader, GatewaySettings& settings) {
   settings.name = reader.Text("name");
   settings.failure_domain = reader.Text("failure_domain");
+  Capacity& capacity = settings.capacity;
+  capacity.processor =
+      reader.NumberOr("processor", kCoreRange, capacity.processor);
+  capacity.link = reader.NumberOr("link", kLinkRange, capacity.link);
 }
 
 void ReadListen(SectionReader& reader, GatewaySettings& settings) {
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 
 #include "allowance/spare_share.h"
 #include "base/clock.h"
+#include "coordination/member_record.h"
 #include "ini/ini_document.h"
 
 namespace parsleyquay {
@@ -28,6 +29,7 @@
 struct GatewaySettings {
   std::string name;
   std::string failure_domain;
+  Capacity capacity;
   std::string request_address;  // "ip:port", like all addresses here
   std::string readiness_address;
   std::string directory_address;
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -523,7 +523,8 @@
           .failure_domain = settings.failure_domain,
           .request_address = settings.request_address,
           .peer_address = settings.peer_address,
-          .incarnation = this->context.incarnation};
+          .incarnation = this->context.incarnation,
+          .capacity = settings.capacity};
 }
 
 MemberStatus MeshAgent::OwnStatus() const {
--- a/libraries/mesh/digest.cc
+++ b/libraries/mesh/digest.cc
@@ -20,6 +20,8 @@
   kIncarnation,
   kFlags,
   kDuties,
+  kProcessor,
+  kLink,
   kAge,
   kMemberFields
 };
@@ -50,6 +52,8 @@
     duties.append(Json::Int64(duty));
   }
   row.append(std::move(duties));
+  row.append(status.record.capacity.processor);
+  row.append(status.record.capacity.link);
   return row;
 }
 
@@ -59,7 +63,9 @@
                                  .failure_domain = row[kDomain].asString(),
                                  .request_address = row[kRequests].asString(),
                                  .peer_address = row[kPeers].asString(),
-                                 .incarnation = row[kIncarnation].asString()},
+                                 .incarnation = row[kIncarnation].asString(),
+                                 .capacity = {row[kProcessor].asDouble(),
+                                              row[kLink].asDouble()}},
                       .is_ready = (flags & kReadyFlag) != 0,
                       .is_leaving = (flags & kLeavingFlag) != 0};
   std::ranges::transform(row[kDuties], std::back_inserter(status.duties),
--- a/libraries/mesh/member_table.cc
+++ b/libraries/mesh/member_table.cc
@@ -17,6 +17,19 @@
   return entry.status.record.failure_domain == failure_domain;
 }
 
+// What an aggregator of a large failure domain needs; more makes no difference,
+// so that members alike take turns over the names.
+constexpr Capacity kAggregatorNeed = {.processor = 0.4, .link = 100};
+
+// The share of an aggregator's need that a member can meet, in tenths.
+int CapacityClass(const MemberEntry& entry) {
+  const Capacity& capacity = entry.status.record.capacity;
+  const double share =
+      std::min({1.0, capacity.processor / kAggregatorNeed.processor,
+                capacity.link / kAggregatorNeed.link});
+  return static_cast<int>(share * 10);
+}
+
 std::uint64_t FingerprintOf(const MemberStatus& status) {
   std::string text = status.record.name;
   text += status.is_ready ? " ready" : "";
@@ -119,7 +132,13 @@
       names.push_back(name);
     }
   }
-  return RankByRendezvous("aggregator", std::move(names));
+  std::vector<std::string> ranked =
+      RankByRendezvous("aggregator", std::move(names));
+  std::ranges::stable_sort(ranked, std::greater<>(),
+                           [&](const std::string& name) {
+                             return CapacityClass(table.members.at(name));
+                           });
+  return ranked;
 }
 
 std::set<std::string> FailureDomains(const MemberTable& table) {
--- a/libraries/mesh/member_table.h
+++ b/libraries/mesh/member_table.h
@@ -85,7 +85,8 @@
                    TimePoint now);
 
 // The members of a failure domain that may collect and pass on what the others
-// say, the first first. Every member ranks them alike.
+// say, the first first: those with the most to work with. Every member ranks
+// them alike.
 std::vector<std::string> RankAggregators(const MemberTable& table,
                                          const std::string& failure_domain,
                                          TimePoint now);
--- a/tests/allowance/allowance_test.cc
+++ b/tests/allowance/allowance_test.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "allowance/allowance_home.h"
+#include "allowance/duty_eligibility.h"
 #include "allowance/spare_share.h"
 
 namespace parsleyquay {
@@ -92,5 +93,45 @@
   }
 }
 
+TEST_CASE("a moment's view of the members moves no duty") {
+  DutyEligibility eligibility;
+  TimePoint now = TimePoint(seconds(1'000));
+  const auto see = [&](DutyStanding standing, Duration lasting) {
+    for (const TimePoint end = now + lasting; now < end;
+         now += milliseconds(250)) {
+      UpdateEligibility(eligibility, standing, now);
+    }
+    UpdateEligibility(eligibility, standing, now);
+    return eligibility.takes_part;
+  };
+  const DutyStanding first = {.is_candidate = true, .hears_most = true};
+  const DutyStanding alone = {.is_candidate = true, .hears_most = false};
+  const DutyStanding other = {.is_candidate = false, .hears_most = true};
+  SECTION("one that has just started takes itself for the first") {
+    CHECK_FALSE(see(first, milliseconds(1'000)));
+    CHECK_FALSE(see(other, milliseconds(1'000)));
+    CHECK_FALSE(see(first, milliseconds(1'000)));
+  }
+  SECTION("one that stays first takes part") {
+    CHECK(see(first, milliseconds(1'500)));
+  }
+  SECTION("one that is cut off hears nobody for a while") {
+    CHECK_FALSE(see(alone, milliseconds(3'500)));
+    CHECK_FALSE(see(other, milliseconds(250)));
+  }
+  SECTION("the last that lives takes part") {
+    CHECK(see(alone, milliseconds(4'000)));
+  }
+  SECTION("one that was passed over for a lost digest keeps its duties") {
+    REQUIRE(see(first, milliseconds(1'500)));
+    CHECK(see(other, milliseconds(3'500)));
+    CHECK(see(first, milliseconds(250)));
+  }
+  SECTION("one that is passed over for good lays them down") {
+    REQUIRE(see(first, milliseconds(1'500)));
+    CHECK_FALSE(see(other, milliseconds(5'250)));
+  }
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include "mesh/digest.h"
 #include "mesh/member_news.h"
 #include "mesh/member_table.h"
@@ -56,6 +58,22 @@
   }
 }
 
+TEST_CASE("members with much to work with are aggregators first") {
+  MemberTable table;
+  for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+    MemberStatus member = Member(name, "x");
+    const bool is_strong = name[0] == 'c' || name[0] == 'f';
+    member.record.capacity = {.processor = is_strong ? 0.5 : 0.1,
+                              .link = is_strong ? 200.0 : 10.0};
+    NoteStatus(table, member, Duration(0), kStart);
+  }
+  auto ranked = RankAggregators(table, "x", kStart);
+  REQUIRE(ranked.size() == 8);
+  ranked.resize(2);
+  std::ranges::sort(ranked);
+  CHECK(ranked == std::vector<std::string>{"c", "f"});
+}
+
 TEST_CASE("an older status changes nothing") {
   MemberTable table = FiveMembers();
   MemberStatus old_status = Member("a", "x");
