allowance, mesh: Take up duties soon after a loss, a leaving, a restart

Standing follows the living members, not who was silent for a moment; a running instance joins after 250 ms; one whose earlier life the store still names knows all members from its first reading and does so too. While a duty has no known home holders renew each 250 ms. An aggregator sends its last digest at once. Roles are acted on after 1.5 s, when the second reading of members has come.

Test "an aggregator that leaves is known to all at once": failed on the version before (aggregator_silent), passes; it failed too for a silence at start, which it no longer looks at. Under the 5 ms race alone it failed in no run of three, so it is a weak proof of that part.

--- a/libraries/allowance/duty_eligibility.cc
+++ b/libraries/allowance/duty_eligibility.cc
@@ -5,7 +5,10 @@
 namespace {
 
 // All members that start at once have read each other's records by then.
-constexpr Duration kJoinAfter = milliseconds(1'500);
+constexpr Duration kJoinAfterStart = milliseconds(1'500);
+
+// Of several members that leave at once, all have said so by then.
+constexpr Duration kJoinAfter = milliseconds(250);
 
 // Longer than a member's silence lasts before it is taken for dead: an instance
 // that is only cut off finds so first, and one whose peers all died serves on.
@@ -14,6 +17,13 @@
 // Longer than an aggregator is passed over for a lost digest or two.
 constexpr Duration kLeaveAfter = milliseconds(5'000);
 
+Duration JoinDelay(const DutyStanding& standing) {
+  if (!standing.hears_most) {
+    return kJoinAloneAfter;
+  }
+  return standing.has_started_lately ? kJoinAfterStart : kJoinAfter;
+}
+
 }  // namespace
 
 void UpdateEligibility(DutyEligibility& eligibility,
@@ -29,9 +39,8 @@
     eligibility.takes_part = eligibility.takes_part && lasted < kLeaveAfter;
     return;
   }
-  const Duration join_after =
-      standing.hears_most ? kJoinAfter : kJoinAloneAfter;
-  eligibility.takes_part = eligibility.takes_part || lasted >= join_after;
+  eligibility.takes_part =
+      eligibility.takes_part || lasted >= JoinDelay(standing);
 }
 
 }  // namespace parsleyquay
--- a/libraries/allowance/duty_eligibility.h
+++ b/libraries/allowance/duty_eligibility.h
@@ -20,6 +20,7 @@
 struct DutyStanding {
   bool is_candidate = false;  // first or second of its failure domain
   bool hears_most = false;    // of all members
+  bool has_started_lately = false;
 
   bool operator==(const DutyStanding&) const = default;
 };
--- a/libraries/gateway/allowance_desk.cc
+++ b/libraries/gateway/allowance_desk.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -21,6 +22,12 @@
 constexpr Duration kRenewInterval = milliseconds(600);
 constexpr Duration kRenewSoon = milliseconds(40);
 constexpr Duration kStandingInterval = milliseconds(250);
+
+// Duties go on with one holder of each failure domain lost.
+constexpr std::ptrdiff_t kHoldersPerDomain = 2;
+
+// All members have found each other by then.
+constexpr Duration kStartTime = seconds(3);
 // A holder stops that long before others may begin.
 constexpr Duration kDutyMargin = milliseconds(200);
 
@@ -60,35 +67,54 @@
       standing_timer(context.loop, [this] { this->Reconsider(); }) {}
 
 void AllowanceDesk::Start() {
+  this->started_at = this->context.Now();
   this->standing_timer.StartRepeating(kStandingInterval);
 }
 
-void AllowanceDesk::SetCandidate(bool candidate) {
-  this->is_candidate = candidate;
-}
-
 void AllowanceDesk::Reconsider() {
-  const TimePoint now = this->context.Now();
   const bool took_part = this->eligibility.takes_part;
-  UpdateEligibility(this->eligibility,
-                    {.is_candidate = this->is_candidate,
-                     .hears_most = CountAlive(this->context.members, now) * 2 >=
-                                   this->context.member_count()},
-                    now);
-  if (this->eligibility.takes_part && !took_part) {
+  const DutyStanding standing = this->OwnStanding();
+  UpdateEligibility(this->eligibility, standing, this->context.Now());
+  const bool takes_part = this->eligibility.takes_part;
+  if (takes_part && !took_part) {
     this->has_given_back = true;
     this->Renew();
-  } else if (!this->eligibility.takes_part && took_part) {
+  } else if (!takes_part && took_part) {
     this->HandBack();
+  } else if (takes_part && this->is_some_duty_orphaned()) {
+    // Its holder has left: it may have been dealt to this instance.
+    this->Renew();
   }
   // Nobody else could take up what an earlier life of this process held until
   // it lapses.
-  if (!this->is_candidate && !this->has_given_back) {
+  if (!standing.is_candidate && !this->has_given_back) {
     this->has_given_back = true;
     this->context.port.duties.leave(this->context.settings.name, [] {});
   }
 }
 
+DutyStanding AllowanceDesk::OwnStanding() const {
+  const TimePoint now = this->context.Now();
+  const MemberTable& members = this->context.members;
+  const auto ranked =
+      RankMembers(members, this->context.settings.failure_domain, now);
+  const auto own = std::ranges::find(ranked, this->context.settings.name);
+  return {.is_candidate =
+              own != ranked.end() && own - ranked.begin() < kHoldersPerDomain,
+          .hears_most =
+              CountAlive(members, now) * 2 >= this->context.member_count(),
+          .has_started_lately = !this->context.has_earlier_life &&
+                                now - this->started_at < kStartTime};
+}
+
+bool AllowanceDesk::is_some_duty_orphaned() const {
+  const auto duties =
+      std::views::iota(0L, std::max(1L, this->context.port.duties.duty_count));
+  return std::ranges::any_of(duties, [this](long duty) {
+    return !this->IsHeld(duty) && !this->HomeAddressOf(duty);
+  });
+}
+
 std::vector<std::string> AllowanceDesk::Methods() {
   return {kAsk, kGrant};
 }
--- a/libraries/gateway/allowance_desk.h
+++ b/libraries/gateway/allowance_desk.h
@@ -63,9 +63,6 @@
 
   void OnMessage(const std::string& method, const Json::Value& parameters);
 
-  // Whether this instance is one of those that should hold duties.
-  void SetCandidate(bool is_candidate);
-
   // Begins to meter what a new configuration brought.
   void OnConfiguration();
 
@@ -86,6 +83,8 @@
   };
 
   void Reconsider();
+  DutyStanding OwnStanding() const;
+  bool is_some_duty_orphaned() const;
   void HandBack();
   void Renew();
   void OnAssignment(std::optional<DutyAssignment> assignment,
@@ -113,7 +112,7 @@
   Timer renew_timer;
   Timer standing_timer;
   DutyEligibility eligibility;
-  bool is_candidate = false;
+  TimePoint started_at;
   bool has_given_back = false;  // what an earlier life of this process held
   DutyAssignment assignment;
   TimePoint held_until;
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -222,7 +222,6 @@
   this->list.SetReading(reads_itself ? ListReading::kForOthers
                                      : ListReading::kByPeers);
   this->configuration.SetWatchful(role.is_aggregator);
-  this->allowances.SetCandidate(role.is_aggregator || role.is_standby);
 }
 
 void Gateway::UpdateSettings(const GatewaySettings& settings) {
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -42,6 +42,9 @@
   GatewayMetrics metrics;
   std::shared_ptr<const RoutingTable> routing;  // null until one is known
   MemberTable members;
+  // The store named an earlier life of this instance at start, and so all other
+  // members as well: the fleet is not just coming up for the first time.
+  bool has_earlier_life = false;
   std::unique_ptr<PeerLink> peers;  // null until the shared secret is known
   bool is_leaving = false;
   std::size_t active_requests = 0;
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -47,6 +47,7 @@
 constexpr FollowPlan kMemberPlan = {.interval = seconds(60),
                                     .timeout = milliseconds(700)};
 constexpr Duration kStartTime = milliseconds(1'200);
+constexpr Duration kRoleTime = milliseconds(1'500);
 
 // Aggregators that have not heard of each other find each other so.
 constexpr FollowPlan kAggregatorMemberPlan = {.interval = seconds(5),
@@ -93,6 +94,8 @@
              this->context.Now());
   this->SendHeartbeat();
   this->PassOnMember(this->context.settings.name);
+  // At once: one that leaves is no aggregator any more a moment later.
+  this->SendDigest();
 }
 
 void MeshAgent::Leave(std::function<void()> on_done) {
@@ -188,6 +191,10 @@
   const TimePoint now = this->context.Now();
   for (const MemberChange& change : changes) {
     if (change.name == this->context.settings.name) {
+      this->context.has_earlier_life =
+          this->context.has_earlier_life ||
+          (change.record &&
+           change.record->incarnation != this->context.incarnation);
       continue;
     }
     if (change.record) {
@@ -423,7 +430,7 @@
   role.is_alone =
       !role.is_aggregator && now - this->digest_at > kAggregatorSilence;
   this->current_role = role;
-  if (this->has_read_again && role != this->announced_role) {
+  if (now - this->started_at >= kRoleTime && role != this->announced_role) {
     this->announced_role = role;
     this->follower.SetPlan(role.is_aggregator ? kAggregatorMemberPlan
                                               : kMemberPlan);
--- a/libraries/mesh/member_table.cc
+++ b/libraries/mesh/member_table.cc
@@ -119,16 +119,13 @@
   return true;
 }
 
-std::vector<std::string> RankAggregators(const MemberTable& table,
-                                         const std::string& failure_domain,
-                                         TimePoint now) {
+std::vector<std::string> RankMembers(const MemberTable& table,
+                                     const std::string& failure_domain,
+                                     TimePoint now) {
   std::vector<std::string> names;
   for (const auto& [name, entry] : table.members) {
-    const bool is_candidate =
-        entry.status.record.failure_domain == failure_domain &&
-        IsAlive(entry, now) && !entry.status.is_leaving &&
-        entry.suspected_until <= now;
-    if (is_candidate) {
+    if (IsMemberOf(entry, failure_domain) && IsAlive(entry, now) &&
+        !entry.status.is_leaving) {
       names.push_back(name);
     }
   }
@@ -141,6 +138,16 @@
   return ranked;
 }
 
+std::vector<std::string> RankAggregators(const MemberTable& table,
+                                         const std::string& failure_domain,
+                                         TimePoint now) {
+  std::vector<std::string> ranked = RankMembers(table, failure_domain, now);
+  std::erase_if(ranked, [&](const std::string& name) {
+    return table.members.at(name).suspected_until > now;
+  });
+  return ranked;
+}
+
 std::set<std::string> FailureDomains(const MemberTable& table) {
   std::set<std::string> domains;
   std::ranges::transform(table.members, std::inserter(domains, domains.end()),
--- a/libraries/mesh/member_table.h
+++ b/libraries/mesh/member_table.h
@@ -84,9 +84,14 @@
                    const DomainView& view,
                    TimePoint now);
 
-// The members of a failure domain that may collect and pass on what the others
-// say, the first first: those with the most to work with. Every member ranks
-// them alike.
+// The living members of a failure domain that stay, those with the most to work
+// with first. Every member ranks them alike.
+std::vector<std::string> RankMembers(const MemberTable& table,
+                                     const std::string& failure_domain,
+                                     TimePoint now);
+
+// Those that may collect and pass on what the others say, the first first:
+// without those whose silence as an aggregator this member has noticed.
 std::vector<std::string> RankAggregators(const MemberTable& table,
                                          const std::string& failure_domain,
                                          TimePoint now);
--- a/tests/allowance/allowance_test.cc
+++ b/tests/allowance/allowance_test.cc
@@ -104,7 +104,9 @@
     UpdateEligibility(eligibility, standing, now);
     return eligibility.takes_part;
   };
-  const DutyStanding first = {.is_candidate = true, .hears_most = true};
+  const DutyStanding first = {
+      .is_candidate = true, .hears_most = true, .has_started_lately = true};
+  const DutyStanding promoted = {.is_candidate = true, .hears_most = true};
   const DutyStanding alone = {.is_candidate = true, .hears_most = false};
   const DutyStanding other = {.is_candidate = false, .hears_most = true};
   SECTION("one that has just started takes itself for the first") {
@@ -112,6 +114,10 @@
     CHECK_FALSE(see(other, milliseconds(1'000)));
     CHECK_FALSE(see(first, milliseconds(1'000)));
   }
+  SECTION("one that moves up to the place of one that left takes part soon") {
+    CHECK_FALSE(see(other, milliseconds(5'000)));
+    CHECK(see(promoted, milliseconds(250)));
+  }
   SECTION("one that stays first takes part") {
     CHECK(see(first, milliseconds(1'500)));
   }
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -38,6 +38,7 @@
   SECTION("one that is silent is passed over") {
     SuspectMember(table, ranked[0], kStart);
     CHECK(RankAggregators(table, "x", kStart)[0] == ranked[1]);
+    CHECK(RankMembers(table, "x", kStart)[0] == ranked[0]);
   }
   SECTION("one that leaves is passed over") {
     MemberStatus leaving = Member(ranked[0], "x");
--- a/tests/promises/platform_test.cc
+++ b/tests/promises/platform_test.cc
@@ -193,6 +193,33 @@
   CHECK(fleet.Log(0).find("event=stop") != std::string::npos);
 }
 
+TEST_CASE("an aggregator that leaves is known to all at once") {
+  GatewayProcesses fleet(3);
+  REQUIRE(fleet.Start(Configuration(1, R"("shop-key")")));
+  const auto name = [](int gateway) { return "g-" + std::to_string(gateway); };
+  fleet.RunFor(milliseconds(2'500));  // all have found each other
+  const std::string log = fleet.Log(0);
+  const std::string event = "event=aggregator member=g-";
+  REQUIRE(log.rfind(event) != std::string::npos);
+  const int aggregator = log[log.rfind(event) + event.size()] - '0';
+  std::map<int, std::size_t> lengths;
+  for (int gateway = 0; gateway < 3; ++gateway) {
+    lengths[gateway] = fleet.Log(gateway).size();
+  }
+  fleet.process(aggregator).Signal(SIGTERM);
+  fleet.RunFor(milliseconds(600));  // well before its silence is noticed
+  for (int gateway = 0; gateway < 3; ++gateway) {
+    if (gateway != aggregator) {
+      const std::string since = fleet.Log(gateway).substr(lengths[gateway]);
+      INFO(fleet.Log(gateway));
+      CHECK(since.find("before=" + name(aggregator)) != std::string::npos);
+      CHECK(since.find("aggregator_silent") == std::string::npos);
+      CHECK(fleet.Addresses(gateway).find(fleet.request_address(aggregator)) ==
+            std::string::npos);
+    }
+  }
+}
+
 TEST_CASE("after a loss of all instances the fleet serves within seconds") {
   GatewayProcesses fleet(3);
   REQUIRE(fleet.Start(Configuration(1, R"("shop-key")", 50, 50)));
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -56,6 +56,9 @@
   std::string Addresses(int gateway);
   std::string Log(int gateway) const;
   std::string log_file(int gateway) const;
+  const std::string& request_address(int gateway) const {
+    return this->gateways[static_cast<std::size_t>(gateway)].requests;
+  }
 
   bool Await(const std::function<bool()>& condition,
              Duration patience = seconds(10));
