roster, gateway: Pass on that a server is ready again; answer before leaving

Found by the soak that comes with this commit (tests/soak, meta/soak):

- Seed 4: after servers had been draining and were ready again, members refused with "no server" for good.
The aggregator took the change over but did not count it as news, so its digest moved everybody's position past it.
The same held for a changed number of slots.
- Seed 2: an instance that leaves took requests whose deadline lay beyond its own end: 8 callers got no whole answer, and libmicrohttpd aborted with their connections suspended.
Such deadlines now end at 0.85 of the grace.
A request that was under way before with a longer deadline is not mended.
- Seed 10: 93 answers of another soak that ran beside it and had the same port (none of its own instances had logged the requests).
Tests now claim ports for as long as they run, outside those of outgoing connections.

Left out: faults of the network between processes.

--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -22,6 +22,7 @@
 // they know for some seconds, so new connections are accepted for the first
 // part; requests under way may use the second.
 constexpr double kListenShare = 0.6;
+constexpr double kAnswerShare = 0.85;
 constexpr double kFinishShare = 0.9;
 constexpr Duration kLeaveCheckInterval = milliseconds(50);
 
@@ -245,6 +246,9 @@
       {{"active_requests", std::to_string(this->context.active_requests)}});
   this->leaving_since = this->context.Now();
   this->context.is_leaving = true;
+  this->context.answer_by =
+      this->context.Now() +
+      ShareOf(this->context.settings.bounds.grace, kAnswerShare);
   this->request_server->CloseConnectionsAfterAnswers();
   this->allowances.Leave();
   this->mesh.Announce();
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -47,6 +47,7 @@
   bool has_earlier_life = false;
   std::unique_ptr<PeerLink> peers;  // null until the shared secret is known
   bool is_leaving = false;
+  std::optional<TimePoint> answer_by;  // when this instance ends
   std::size_t active_requests = 0;
 
   TimePoint Now() const { return this->loop.Now(); }
--- a/libraries/gateway/request_flow.cc
+++ b/libraries/gateway/request_flow.cc
@@ -128,6 +128,9 @@
     time = milliseconds(*asked);
   }
   this->deadline = this->started_at + time;
+  if (this->context.answer_by) {
+    this->deadline = std::min(this->deadline, *this->context.answer_by);
+  }
 }
 
 // Collects the body until it is whole or as much as is held.
--- a/libraries/roster/server_roster.cc
+++ b/libraries/roster/server_roster.cc
@@ -34,6 +34,13 @@
   return RosterEvent::kRemoved;
 }
 
+bool SaysTheSame(const ServerListing& one, const ServerListing& other) {
+  ServerListing later = other;
+  later.sequence = one.sequence;
+  later.cold_remaining = one.cold_remaining;
+  return one == later;
+}
+
 RosterEvent CompareLives(const RosterEntry& known, const RosterEntry& entry) {
   if (known.listing.incarnation != entry.listing.incarnation ||
       known.listing.address != entry.listing.address) {
@@ -44,7 +51,11 @@
   }
   const bool is_colder = entry.listing.cold_remaining > Duration(0) &&
                          entry.cold_until > known.cold_until + kColdTolerance;
-  return is_colder ? RosterEvent::kCooled : RosterEvent::kNone;
+  if (is_colder) {
+    return RosterEvent::kCooled;
+  }
+  return SaysTheSame(known.listing, entry.listing) ? RosterEvent::kNone
+                                                   : RosterEvent::kChanged;
 }
 
 }  // namespace
@@ -133,6 +144,8 @@
       return "draining";
     case RosterEvent::kCooled:
       return "cooled";
+    case RosterEvent::kChanged:
+      return "changed";
     case RosterEvent::kRemoved:
       return "removed";
     case RosterEvent::kLapsed:
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -48,7 +48,8 @@
   kAdded,
   kRestarted,
   kDraining,
-  kCooled,  // cold, or longer cold than known
+  kCooled,   // cold, or longer cold than known
+  kChanged,  // something else, such as ready again
   kRemoved,
   kLapsed,     // vanished, but used on until it is known to be gone
   kOvertaken,  // older than what is known
--- a/tests/roster/server_roster_test.cc
+++ b/tests/roster/server_roster_test.cc
@@ -92,6 +92,18 @@
   CHECK_FALSE(MayReceiveWork(roster, roster.servers.at("s1")));
 }
 
+// Whoever reads the list passes on only what is news.
+TEST_CASE("a server that is ready again, or has more slots, is news") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9, true), kStart);
+  CHECK(ApplyServerChange(roster, Listed(5, 10), kStart) ==
+        RosterEvent::kChanged);
+  CHECK(MayReceiveWork(roster, roster.servers.at("s1")));
+  ServerChange larger = Listed(5, 11);
+  larger.listing->slots += 2;
+  CHECK(ApplyServerChange(roster, larger, kStart) == RosterEvent::kChanged);
+}
+
 TEST_CASE("a server that turns cold again is news") {
   ServerRoster roster;
   ApplyServerChange(roster, Listed(5, 9), kStart);
--- /dev/null
+++ b/tests/soak/fault_schedule.h
@@ -0,0 +1,53 @@
+#ifndef PARSLEYQUAY_TESTS_SOAK_FAULT_SCHEDULE_H_
+#define PARSLEYQUAY_TESTS_SOAK_FAULT_SCHEDULE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace parsleyquay {
+
+enum class FaultKind {
+  kKill,            // SIGKILL, started again at the end
+  kKillAll,         // all instances at the same moment
+  kFreeze,          // SIGSTOP, SIGCONT at the end
+  kTerminate,       // SIGTERM, started again once it has ended
+  kReload,          // SIGHUP
+  kStoreDown,       // for all instances
+  kStoreTurnsAway,  // one instance
+  kStoreSilent,     // to one instance
+  kStoreSlow,
+  kStoreLosesReplies,
+  kStoreForgets,
+  kStoreRegroups,
+  kServerFails,
+  kServerResets,
+  kServerHangs,
+  kServerCutsAnswers,
+  kServerLeaves,
+  kNewConfiguration,
+};
+constexpr int kFaultKinds = static_cast<int>(FaultKind::kNewConfiguration) + 1;
+
+struct Fault {
+  Duration at = Duration(0);  // after the start of the schedule
+  Duration lasting = Duration(0);
+  FaultKind kind = FaultKind::kKill;
+  int target = 0;  // an instance or a server, by its number
+
+  bool operator==(const Fault&) const = default;
+};
+
+std::string_view FaultName(FaultKind kind);
+
+// Draws faults for `length`, in order of time, some of which overlap. The same
+// seed gives the same faults.
+std::vector<Fault> DrawSchedule(std::uint64_t seed,
+                                Duration length,
+                                int targets);
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_TESTS_SOAK_FAULT_SCHEDULE_H_
--- a/tests/support/gateway_processes.cc
+++ b/tests/support/gateway_processes.cc
@@ -180,10 +180,14 @@
     int gateway,
     const std::string& method,
     const std::string& target,
-    std::function<void(const SimpleAnswer&)> on_answer) {
-  this->client.Fetch(
-      this->MakeRequest(gateway, method, target, "shop-key", "r-1"),
-      method == "POST" ? "body" : "", std::move(on_answer));
+    std::function<void(const SimpleAnswer&)> on_answer,
+    const std::string& key,
+    const std::string& id,
+    ConnectionUse connection_use) {
+  CallRequest request = this->MakeRequest(gateway, method, target, key, id);
+  request.connection_use = connection_use;
+  this->client.Fetch(std::move(request), method == "POST" ? "body" : "",
+                     std::move(on_answer));
 }
 
 SimpleAnswer GatewayProcesses::Ask(const std::string& address,
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -26,6 +26,7 @@
   bool Start(const std::string& configuration);
 
   void StartGateway(int index);
+  int count() const { return static_cast<int>(this->gateways.size()); }
   ChildProcess& process(int index) {
     return *this->gateways[static_cast<std::size_t>(index)].process;
   }
@@ -50,7 +51,10 @@
   void SendAsync(int gateway,
                  const std::string& method,
                  const std::string& target,
-                 std::function<void(const SimpleAnswer&)> on_answer);
+                 std::function<void(const SimpleAnswer&)> on_answer,
+                 const std::string& key = "shop-key",
+                 const std::string& id = "r-1",
+                 ConnectionUse connection_use = ConnectionUse::kFresh);
   SimpleAnswer Ask(const std::string& address, const std::string& target);
   bool IsReady(int gateway);
   std::string Addresses(int gateway);
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -3,9 +3,12 @@
 #include <netinet/in.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cstddef>
 #include <cstdlib>
 #include <stdexcept>
 
@@ -16,23 +19,59 @@
 constexpr char kHeadEnd[] = "\r\n\r\n";
 constexpr char kLastChunk[] = "0\r\n\r\n";
 
-int ListenOnLoopback(std::string& address) {
+// Below the ports that the kernel gives to outgoing connections, and apart from
+// those of `TestFleet`.
+constexpr int kFirstPort = 30'000;
+constexpr int kPortSpan = 2'700;
+
+// Whether no other test of this machine has the port. It is kept until this
+// process ends: an instance that is down for a while must find it free.
+bool ClaimPort(int port) {
+  const std::string text = "parsleyquay-test-port-" + std::to_string(port);
+  sockaddr_un name = {};
+  name.sun_family = AF_UNIX;
+  // A leading zero byte: a name without a file.
+  std::ranges::copy(text, name.sun_path + 1);
+  const int claim = socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  const auto size =
+      static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + text.size());
+  const bool is_claimed =
+      bind(claim, reinterpret_cast<const sockaddr*>(&name), size) == 0;
+  if (!is_claimed) {
+    close(claim);
+  }
+  return is_claimed;
+}
+
+int ListenOnPort(int port) {
   const int listener =
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in name = {};
   name.sin_family = AF_INET;
   name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  name.sin_port = htons(static_cast<std::uint16_t>(port));
   const bool is_listening =
       bind(listener, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) ==
           0 &&
       listen(listener, SOMAXCONN) == 0;
-  if (!is_listening) {
-    throw std::runtime_error("cannot listen on loopback");
+  if (is_listening) {
+    return listener;
+  }
+  close(listener);
+  return -1;
+}
+
+int ListenOnLoopback(std::string& address) {
+  static int next_place = getpid() * 31;
+  for (int tries = 0; tries < kPortSpan; ++tries) {
+    const int port = kFirstPort + next_place++ % kPortSpan;
+    const int listener = ClaimPort(port) ? ListenOnPort(port) : -1;
+    if (listener >= 0) {
+      address = "127.0.0.1:" + std::to_string(port);
+      return listener;
+    }
   }
-  socklen_t size = sizeof(name);
-  getsockname(listener, reinterpret_cast<sockaddr*>(&name), &size);
-  address = "127.0.0.1:" + std::to_string(ntohs(name.sin_port));
-  return listener;
+  throw std::runtime_error("no free port on loopback");
 }
 
 }  // namespace
