--- a/libraries/gateway/allowance_desk.cc
+++ b/libraries/gateway/allowance_desk.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -108,11 +107,12 @@
 }
 
 bool AllowanceDesk::is_some_duty_orphaned() const {
-  const auto duties =
-      std::views::iota(0L, std::max(1L, this->context.port.duties.duty_count));
-  return std::ranges::any_of(duties, [this](long duty) {
-    return !this->IsHeld(duty) && !this->HomeAddressOf(duty);
-  });
+  for (long duty = 0; duty < this->context.port.duties.duty_count; ++duty) {
+    if (!this->IsHeld(duty) && !this->HomeAddressOf(duty)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 std::vector<std::string> AllowanceDesk::Methods() {
