tests: Claim ports in one way

Cause: the soak brought a second way to keep ports from other tests of the machine (a name in the abstract namespace for each port) beside the range that TestFleet claims.

`ClaimPortRange` has a file of its own now and serves both; scripted servers and gateway processes take their ports from a range of the process. Ports stay below those of outgoing connections.

--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -3,15 +3,14 @@
 #include <netinet/in.h>
 #include <strings.h>
 #include <sys/socket.h>
-#include <sys/un.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
-#include <cstddef>
 #include <cstdlib>
 #include <stdexcept>
 
+#include "experiment/port_range.h"
+
 namespace parsleyquay {
 
 namespace {
@@ -19,30 +18,6 @@
 constexpr char kHeadEnd[] = "\r\n\r\n";
 constexpr char kLastChunk[] = "0\r\n\r\n";
 
-// Below the ports that the kernel gives to outgoing connections, and apart from
-// those of `TestFleet`.
-constexpr int kFirstPort = 30'000;
-constexpr int kPortSpan = 2'700;
-
-// Whether no other test of this machine has the port. It is kept until this
-// process ends: an instance that is down for a while must find it free.
-bool ClaimPort(int port) {
-  const std::string text = "parsleyquay-test-port-" + std::to_string(port);
-  sockaddr_un name = {};
-  name.sun_family = AF_UNIX;
-  // A leading zero byte: a name without a file.
-  std::ranges::copy(text, name.sun_path + 1);
-  const int claim = socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-  const auto size =
-      static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + text.size());
-  const bool is_claimed =
-      bind(claim, reinterpret_cast<const sockaddr*>(&name), size) == 0;
-  if (!is_claimed) {
-    close(claim);
-  }
-  return is_claimed;
-}
-
 int ListenOnPort(int port) {
   const int listener =
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -61,11 +36,26 @@
   return -1;
 }
 
+// The ports of this process, each given once: an instance that is down for a
+// while must find its own free.
+int NextPort() {
+  static PortRange range;
+  static int given = 0;
+  if (given == range.width) {
+    range = ClaimPortRange();
+    given = 0;
+    if (range.width == 0) {
+      throw std::runtime_error("no free range of ports on loopback");
+    }
+  }
+  return range.base + given++;
+}
+
 int ListenOnLoopback(std::string& address) {
-  static int next_place = getpid() * 31;
-  for (int tries = 0; tries < kPortSpan; ++tries) {
-    const int port = kFirstPort + next_place++ % kPortSpan;
-    const int listener = ClaimPort(port) ? ListenOnPort(port) : -1;
+  constexpr int kMostTries = 100;
+  for (int tries = 0; tries < kMostTries; ++tries) {
+    const int port = NextPort();
+    const int listener = ListenOnPort(port);
     if (listener >= 0) {
       address = "127.0.0.1:" + std::to_string(port);
       return listener;
--- a/utilities/experiment/test_fleet.cc
+++ b/utilities/experiment/test_fleet.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <sodium.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -11,6 +10,7 @@
 #include <sstream>
 
 #include "base/random_id.h"
+#include "experiment/port_range.h"
 #include "fleet/record_codec.h"
 #include "limits/share_entitlement.h"
 #include "operations/fleet_reader.h"
@@ -27,43 +27,12 @@
 constexpr int kAdvertisedPeerBlock = 3;
 constexpr int kLogBlock = 4;
 constexpr int kServerBlock = 5;
-constexpr int kBlockCount = 6;
 constexpr int kPlatformPlace = 0;
 constexpr int kFaultsPlace = 1;
 
-constexpr int kFirstPort = 10'000;
-constexpr int kPortSpan = 20'000;
-
 constexpr std::size_t kIdBytes = 8;
 constexpr Duration kStartPatience = seconds(30);
 
-// A range of ports that no other experiment of this machine uses: whoever
-// listens on the last port of its first block holds the range.
-struct PortRange {
-  int base = 0;
-  int lock = -1;
-};
-
-PortRange ClaimPortRange() {
-  const int width = kBlockPorts * kBlockCount;
-  const int places = kPortSpan / width;
-  for (int i = 0; i < places; ++i) {
-    const int base = kFirstPort + ((getpid() + i) % places) * width;
-    const int lock = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port =
-        htons(static_cast<std::uint16_t>(base + kBlockPorts - 1));
-    if (bind(lock, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
-        0) {
-      return {base, lock};
-    }
-    close(lock);
-  }
-  return {};
-}
-
 std::string Binary(const std::string& path) {
   return std::string(PARSLEYQUAY_BINARY_DIR) + "/" + path;
 }
