tests: Write the platform's configuration in one place

The soak and promises_platform each put the same routes and workspaces together as text. `ConfigurationText` does it for both. The soak's service has the cold start of the other now (1 s, 7 a second); none of its servers says that it is cold, so nothing else is different.

--- a/tests/promises/platform_test.cc
+++ b/tests/promises/platform_test.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <map>
 
+#include "support/configuration_text.h"
 #include "support/gateway_fixture.h"
 #include "support/gateway_processes.h"
 
@@ -15,22 +16,7 @@
                           const std::string& keys,
                           int rate = 0,
                           int burst = 0) {
-  return R"({"version":)" + std::to_string(version) + R"(,"resources":[
-    {"resource_kind":"routes","metadata":{"name":"safe"},"spec":{
-      "host":"a.example","path_prefix":"/safe/","kind":"safe",
-      "timeout":"1500ms","slo_latency":"800ms","priority":1,"service":"work",
-      "max_attempts":2,"public":false}},
-    {"resource_kind":"routes","metadata":{"name":"once"},"spec":{
-      "host":"a.example","path_prefix":"/once/","kind":"unsafe",
-      "timeout":"1500ms","slo_latency":"800ms","priority":1,"service":"work",
-      "max_attempts":2,"public":false}},
-    {"resource_kind":"services","metadata":{"name":"work"},"spec":{
-      "health_path":"/health","max_conns":300,"cold_start":"1s",
-      "cold_per_s":7}},
-    {"resource_kind":"tenants","metadata":{"name":"shop"},"spec":{
-      "api_keys":[)" +
-         keys + R"(],"priority":1,"rate_per_s":)" + std::to_string(rate) +
-         R"(,"burst":)" + std::to_string(burst) + "}}]}";
+  return ConfigurationText(version, {{"shop", keys, rate, burst}});
 }
 
 ScriptedServer::Script Good() {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "support/configuration_text.h"
 #include "support/gateway_fixture.h"
 
 namespace parsleyquay {
@@ -31,31 +32,11 @@
 // Until a holder's lease has lapsed and all instances have started again.
 constexpr Duration kRecoveryTime = seconds(10);
 
-std::string Route(const std::string& kind) {
-  return R"({"resource_kind":"routes","metadata":{"name":")" + kind +
-         R"("},"spec":{"host":"a.example","path_prefix":"/)" + kind +
-         R"(/","kind":")" + (kind == "once" ? "unsafe" : "safe") +
-         R"(","timeout":"1500ms","slo_latency":"800ms","priority":1,
-         "service":"work","max_attempts":2,"public":false}},)";
-}
-
-std::string Workspace(const std::string& name, int rate, int burst) {
-  return R"({"resource_kind":"tenants","metadata":{"name":")" + name +
-         R"("},"spec":{"api_keys":[")" + name +
-         R"(-key"],"priority":1,"rate_per_s":)" + std::to_string(rate) +
-         R"(,"burst":)" + std::to_string(burst) + "}}";
-}
-
 std::string Configuration(int version) {
-  return R"({"version":)" + std::to_string(version) + R"(,"resources":[)" +
-         Route("safe") + Route("once") +
-         R"({"resource_kind":"services","metadata":{"name":"work"},"spec":{
-         "health_path":"/health","max_conns":300,"cold_start":"0s",
-         "cold_per_s":0}},)" +
-         Workspace("shop", 0, 0) + "," +
-         Workspace("kiosk", static_cast<int>(kMetered.rate),
-                   static_cast<int>(kMetered.burst)) +
-         "]}";
+  return ConfigurationText(
+      version, {{"shop", R"("shop-key")"},
+                {"kiosk", R"("kiosk-key")", static_cast<int>(kMetered.rate),
+                 static_cast<int>(kMetered.burst)}});
 }
 
 std::string BodyOf(const std::string& request) {
