http: Relay a body and bind a call's handlers in one place

Gateway and entry had the same code for the body that is sent again (what is held, then what still comes) and for handlers that outlive their request. `ReadRelayedBody` and `BindCallHandlers` serve both.

--- a/libraries/gateway/request_attempt.cc
+++ b/libraries/gateway/request_attempt.cc
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <utility>
 
 #include "gateway/request_flow.h"
+#include "http/bind_call_handlers.h"
+#include "http/relayed_body.h"
 #include "logging/event_log.h"
 
 namespace parsleyquay {
@@ -90,26 +91,11 @@
     EarnRetry(this->parts.retry_budgets[this->service],
               this->parts.retry_bound());
   }
-  const std::weak_ptr<RequestFlow> weak = this->shared_from_this();
-  CallHandlers handlers;
-  handlers.read_body = [weak](char* buffer, std::size_t capacity) {
-    const auto flow = weak.lock();
-    return flow ? flow->ReadBody(buffer, capacity) : BodyChunk{};
-  };
-  handlers.on_head = [weak](int status, const HeaderList& headers) {
-    if (const auto flow = weak.lock()) {
-      flow->OnHead(status, headers);
-    }
-  };
-  handlers.on_data = [weak](std::string_view data) {
-    const auto flow = weak.lock();
-    return flow ? flow->OnData(data) : true;
-  };
-  handlers.on_done = [weak](const CallResult& result) {
-    if (const auto flow = weak.lock()) {
-      flow->OnDone(result);
-    }
-  };
+  CallHandlers handlers = BindCallHandlers<RequestFlow>(
+      this->weak_from_this(), {.read_body = &RequestFlow::ReadBody,
+                               .on_head = &RequestFlow::OnHead,
+                               .on_data = &RequestFlow::OnData,
+                               .on_done = &RequestFlow::OnDone});
   this->attempt.call =
       this->context.http.Start(this->MakeCall(), std::move(handlers));
   this->StartTimer();
@@ -145,23 +131,9 @@
 }
 
 BodyChunk RequestFlow::ReadBody(char* buffer, std::size_t capacity) {
-  const std::size_t held = this->body.size() - this->attempt.body_sent;
-  if (held > 0) {
-    const std::size_t size = std::min(held, capacity);
-    std::memcpy(buffer, this->body.data() + this->attempt.body_sent, size);
-    this->attempt.body_sent += size;
-    return {BodyState::kData, size};
-  }
-  if (this->is_body_held_whole) {
-    return {BodyState::kEnd, 0};
-  }
-  const std::size_t size = this->exchange->ReadBody(buffer, capacity);
-  if (size > 0) {
-    return {BodyState::kData, size};
-  }
-  return {
-      this->exchange->is_body_complete() ? BodyState::kEnd : BodyState::kWait,
-      0};
+  return ReadRelayedBody({this->body, this->is_body_held_whole},
+                         this->attempt.body_sent, *this->exchange, buffer,
+                         capacity);
 }
 
 void RequestFlow::OnHead(int status, const HeaderList& headers) {
--- /dev/null
+++ b/libraries/http/bind_call_handlers.h
@@ -0,0 +1,51 @@
+#ifndef PARSLEYQUAY_HTTP_BIND_CALL_HANDLERS_H_
+#define PARSLEYQUAY_HTTP_BIND_CALL_HANDLERS_H_
+
+#include <memory>
+#include <string_view>
+#include <utility>
+
+#include "http/http_call.h"
+
+namespace parsleyquay {
+
+// The methods of an object that serve a call.
+template <typename Owner>
+struct CallMethods {
+  BodyChunk (Owner::*read_body)(char* buffer, std::size_t capacity);
+  void (Owner::*on_head)(int status, const HeaderList& headers);
+  bool (Owner::*on_data)(std::string_view data);
+  void (Owner::*on_done)(const CallResult& result);
+};
+
+// Handlers that call the owner's methods as long as it lives; after that data
+// is dropped.
+template <typename Owner>
+CallHandlers BindCallHandlers(std::weak_ptr<Owner> weak,
+                              CallMethods<Owner> methods) {
+  CallHandlers handlers;
+  handlers.read_body = [weak, methods](char* buffer, std::size_t capacity) {
+    const auto owner = weak.lock();
+    return owner ? (owner.get()->*methods.read_body)(buffer, capacity)
+                 : BodyChunk{};
+  };
+  handlers.on_head = [weak, methods](int status, const HeaderList& headers) {
+    if (const auto owner = weak.lock()) {
+      (owner.get()->*methods.on_head)(status, headers);
+    }
+  };
+  handlers.on_data = [weak, methods](std::string_view data) {
+    const auto owner = weak.lock();
+    return owner ? (owner.get()->*methods.on_data)(data) : true;
+  };
+  handlers.on_done = [weak, methods](const CallResult& result) {
+    if (const auto owner = weak.lock()) {
+      (owner.get()->*methods.on_done)(result);
+    }
+  };
+  return handlers;
+}
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_HTTP_BIND_CALL_HANDLERS_H_
