mesh: Say once what hearing most of the members means

Whether an instance hears at least half of the members was worked out twice, for who names no addresses and for who takes up duties. `HearsMost` says it. Tests of both are new; no bound changed.

--- a/libraries/gateway/allowance_desk.cc
+++ b/libraries/gateway/allowance_desk.cc
@@ -100,8 +100,7 @@
   const auto own = std::ranges::find(ranked, this->context.settings.name);
   return {.is_candidate =
               own != ranked.end() && own - ranked.begin() < kHoldersPerDomain,
-          .hears_most =
-              CountAlive(members, now) * 2 >= this->context.member_count(),
+          .hears_most = HearsMost(members, now),
           .has_started_lately = !this->context.has_earlier_life &&
                                 now - this->started_at < kStartTime};
 }
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -154,11 +154,8 @@
 // Whether this instance has lost the store and hears fewer than half of the
 // members: then others know better which instances a caller can use.
 bool Gateway::is_isolated() const {
-  const bool is_minority =
-      CountAlive(this->context.members, this->context.Now()) * 2 <
-      this->context.member_count();
-  return is_minority && !this->list.is_available() &&
-         !this->configuration.is_available();
+  return !HearsMost(this->context.members, this->context.Now()) &&
+         !this->list.is_available() && !this->configuration.is_available();
 }
 
 void Gateway::OnReadinessQuestion(ServerExchange& exchange) {
--- a/libraries/mesh/member_table.cc
+++ b/libraries/mesh/member_table.cc
@@ -63,13 +63,14 @@
   return is_news;
 }
 
-void NoteRecord(MemberTable& table, const MemberRecord& record, TimePoint now) {
+bool NoteRecord(MemberTable& table, const MemberRecord& record, TimePoint now) {
   const auto found = table.members.find(record.name);
   if (found != table.members.end() && found->second.status.record == record) {
-    return;
+    return false;
   }
   table.members[record.name] = {.status = {.record = record, .is_ready = true},
                                 .heard_at = now};
+  return true;
 }
 
 void RemoveMember(MemberTable& table, const std::string& name) {
@@ -175,4 +176,9 @@
       [&](const auto& item) { return IsAlive(item.second, now); }));
 }
 
+bool HearsMost(const MemberTable& table, TimePoint now) {
+  return CountAlive(table, now) * 2 >=
+         std::max<std::size_t>(1, table.members.size());
+}
+
 }  // namespace parsleyquay
--- a/libraries/mesh/member_table.h
+++ b/libraries/mesh/member_table.h
@@ -61,8 +61,9 @@
                 Duration age,
                 TimePoint now);
 
-// Notes a record of the store, whose age is not known.
-void NoteRecord(MemberTable& table, const MemberRecord& record, TimePoint now);
+// Notes a record of the store, whose age is not known. Returns whether it says
+// anything new.
+bool NoteRecord(MemberTable& table, const MemberRecord& record, TimePoint now);
 
 void RemoveMember(MemberTable& table, const std::string& name);
 
@@ -106,6 +107,9 @@
 
 std::size_t CountAlive(const MemberTable& table, TimePoint now);
 
+// Whether at least half of the members are known to live.
+bool HearsMost(const MemberTable& table, TimePoint now);
+
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_MESH_MEMBER_TABLE_H_
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -75,6 +75,17 @@
   CHECK(ranked == std::vector<std::string>{"c", "f"});
 }
 
+TEST_CASE("an instance that hears half of the members hears most") {
+  MemberTable table = FiveMembers();  // and a sixth
+  const TimePoint later = kStart + kSilenceLimit;
+  for (const char* name : {"a", "b"}) {
+    NoteStatus(table, Member(name, "x"), Duration(0), later);
+  }
+  CHECK_FALSE(HearsMost(table, later));
+  NoteStatus(table, Member("c", "x"), Duration(0), later);
+  CHECK(HearsMost(table, later));
+}
+
 TEST_CASE("an older status changes nothing") {
   MemberTable table = FiveMembers();
   MemberStatus old_status = Member("a", "x");
@@ -86,8 +97,9 @@
 TEST_CASE("a record of the store does not overrule what was heard") {
   MemberTable table = FiveMembers();
   const auto before = table;
-  NoteRecord(table, Member("a", "x").record, kStart + seconds(2));
+  CHECK_FALSE(NoteRecord(table, Member("a", "x").record, kStart + seconds(2)));
   CHECK(table == before);
+  CHECK(NoteRecord(table, Member("g", "x").record, kStart + seconds(2)));
 }
 
 TEST_CASE("a digest survives the wire") {
