gateway: Divide the mesh agent by job

Work done twice, found on the way: - A record that the store turned away made the instance read the secret and bind its open port again before it wrote again. Only the record is written again now; the new test fails without that (secret read 3 times). - Aggregators named members to all whose record said nothing new. - The own status was noted twice a tick, the view of the own failure domain made twice a digest, and outcomes collected by two like functions.

Ruled out: dropping `is_standby`, which only the log tells now; operators read it there.

--- /dev/null
+++ b/libraries/gateway/fleet_link.h
@@ -0,0 +1,48 @@
+#ifndef PARSLEYQUAY_GATEWAY_FLEET_LINK_H_
+#define PARSLEYQUAY_GATEWAY_FLEET_LINK_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "event/timer.h"
+#include "gateway/gateway_context.h"
+
+namespace parsleyquay {
+
+// This instance as the others are to find it.
+MemberRecord DescribeOwnInstance(const GatewayContext& context);
+
+// Opens the link to the other instances once all have agreed on its secret, and
+// keeps this instance's record in the store.
+class FleetLink {
+ public:
+  struct Handlers {
+    std::function<void()> on_open;
+    PeerLink::Handler on_message;
+  };
+
+  FleetLink(GatewayContext& context,
+            std::vector<std::string> methods,
+            Handlers handlers);
+
+  // Tries until it succeeds.
+  void Join();
+
+  // Takes back this instance's record.
+  void Leave(std::function<void()> on_done);
+
+ private:
+  void AgreeOnSecret();
+  void Open(const std::string& secret);
+  void PublishRecord();
+
+  GatewayContext& context;
+  std::vector<std::string> methods;
+  Handlers handlers;
+  Timer retry_timer;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_FLEET_LINK_H_
--- /dev/null
+++ b/libraries/gateway/member_exchange.h
@@ -0,0 +1,67 @@
+#ifndef PARSLEYQUAY_GATEWAY_MEMBER_EXCHANGE_H_
+#define PARSLEYQUAY_GATEWAY_MEMBER_EXCHANGE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "event/timer.h"
+#include "gateway/gateway_context.h"
+#include "mesh/digest.h"
+#include "mesh/member_news.h"
+
+namespace parsleyquay {
+
+// The address of a member's link, "" for one that is not known.
+std::string PeerAddressOf(const MemberTable& members, const std::string& name);
+
+// Sends a digest, in parts where it names many members.
+void SendInParts(GatewayContext& context,
+                 const std::vector<std::string>& addresses,
+                 Digest digest);
+
+// Keeps the instances agreed on who lives and what each last said of itself:
+// names members of whom there is news, compares the rest by fingerprint, and
+// asks and answers where they differ. See `MemberNews`.
+class MemberExchange {
+ public:
+  explicit MemberExchange(GatewayContext& context);
+
+  // The method of its questions.
+  static const char* Method();
+
+  // Names the member in the next digest.
+  void NoteChange(const std::string& name) { this->news.changed.insert(name); }
+
+  // Takes over what a digest says of other members; returns those of whom it
+  // says anything new.
+  std::vector<std::string> TakeOver(const Digest& digest);
+
+  // Compares what a digest says of whole failure domains, of those for which
+  // `speaks_for` is true, and asks its sender where it differs.
+  void Compare(const Digest& digest,
+               const std::function<bool(const std::string&)>& speaks_for);
+
+  void OnQuestion(const Json::Value& parameters);
+
+  // What to say of each failure domain; nothing until it is due again.
+  std::map<std::string, DomainView> TakeDueViews();
+
+  // Names the changed members, of one failure domain or (empty) of all.
+  std::vector<DigestMember> Changed(const std::string& failure_domain) const;
+
+  void ForgetChanges() { this->news.changed.clear(); }
+
+ private:
+  void AnswerQuestion();
+
+  GatewayContext& context;
+  Timer answer_timer;
+  MemberNews news;
+  TimePoint views_sent_at;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_GATEWAY_MEMBER_EXCHANGE_H_
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -5,7 +5,6 @@
 #include <set>
 #include <utility>
 
-#include "base/random_id.h"
 #include "logging/event_log.h"
 
 namespace parsleyquay {
@@ -15,8 +14,6 @@
 constexpr char kHeartbeat[] = "heartbeat";
 constexpr char kOutcome[] = "outcome";
 constexpr char kUnserved[] = "unserved";
-constexpr char kDigest[] = "digest";
-constexpr char kMembersWanted[] = "members_wanted";
 
 // Good outcomes are shared within 250 ms, failures at once.
 constexpr Duration kTick = milliseconds(250);
@@ -24,22 +21,9 @@
 constexpr Duration kLongestDigestGap = milliseconds(500);
 constexpr Duration kHeartbeatInterval = milliseconds(1'000);
 
-// Six of them go into the limit of a member's silence, so some may be lost.
-constexpr Duration kDomainsInterval = milliseconds(500);
-
-// An answer to one member may be 30 KB; at most 2 Mbit/s go to answers of a
-// fleet of 121, a fifth of the smallest link.
-constexpr Duration kAnswerGap = milliseconds(50);
-
-// About 100 bytes each: a digest stays far below the largest datagram.
-constexpr std::size_t kMostMembers = 60;
-
 // Two missed digests and a margin.
 constexpr Duration kAggregatorSilence = milliseconds(1'100);
 
-constexpr Duration kSecretRetry = milliseconds(700);
-constexpr std::size_t kSecretBytes = 32;
-
 // At start all instances write their records within about a second, so they are
 // read once more after that, and nobody acts on a role before. Later, members
 // are heard of by heartbeats; their records are read only in case that a whole
@@ -54,8 +38,8 @@
                                               .timeout = milliseconds(700)};
 
 std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
-  methods.insert(methods.end(),
-                 {kHeartbeat, kOutcome, kUnserved, kDigest, kMembersWanted});
+  methods.insert(methods.end(), {kHeartbeat, kOutcome, kUnserved, kDigestMethod,
+                                 MemberExchange::Method()});
   return methods;
 }
 
@@ -65,8 +49,15 @@
                      std::vector<std::string> message_methods,
                      Handlers handlers)
     : context(context),
-      message_methods(std::move(message_methods)),
       handlers(std::move(handlers)),
+      link(context,
+           WithOwnMethods(std::move(message_methods)),
+           {.on_open = [this] { this->OnLinkOpen(); },
+            .on_message =
+                [this](const std::string& method, const Json::Value& value) {
+                  this->OnPeerMessage(method, value);
+                }}),
+      exchange(context),
       follower(context.loop,
                "members",
                context.port.members,
@@ -75,14 +66,12 @@
                     [this](const std::vector<MemberChange>& changes,
                            ChangeSet) { this->OnMemberChanges(changes); }}),
       tick_timer(context.loop, [this] { this->OnTick(); }),
-      urgent_timer(context.loop, [this] { this->SendDigest(); }),
-      retry_timer(context.loop, [this] { this->AgreeOnSecret(); }),
-      answer_timer(context.loop, [this] { this->AnswerQuestion(); }) {}
+      urgent_timer(context.loop, [this] { this->SendDigest(); }) {}
 
 void MeshAgent::Start() {
   this->started_at = this->context.Now();
   this->follower.Start();
-  this->AgreeOnSecret();
+  this->link.Join();
   this->tick_timer.StartRepeating(kTick);
 }
 
@@ -99,9 +88,7 @@
 }
 
 void MeshAgent::Leave(std::function<void()> on_done) {
-  this->context.port.publish_member(
-      {this->context.settings.name, std::nullopt},
-      [on_done = std::move(on_done)](PublishOutcome) { on_done(); });
+  this->link.Leave(std::move(on_done));
 }
 
 void MeshAgent::Report(const OutcomeReport& report) {
@@ -139,52 +126,17 @@
 void MeshAgent::CollectUnserved(const std::string& service) {
   OutcomeSummary seen;
   seen.unserved_by_service[service] = 1;
-  this->handlers.on_outcomes(seen);
-  AddSummary(this->own_domain_outcomes, seen);
-}
-
-void MeshAgent::AgreeOnSecret() {
-  this->context.port.agree_on_secret(
-      RandomHex(kSecretBytes), [this](std::optional<std::string> secret) {
-        if (!secret) {
-          this->retry_timer.StartOnce(kSecretRetry);
-          return;
-        }
-        this->OpenLink(*secret);
-        this->PublishRecord();
-      });
+  this->Collect(seen);
 }
 
-void MeshAgent::OpenLink(const std::string& secret) {
-  const bool is_open = RunOrReport(
-      [&]() -> Result<void> {
-        BOOST_LEAF_ASSIGN(
-            this->context.peers,
-            PeerLink::Create(
-                this->context.loop, this->context.settings.peer_address, secret,
-                WithOwnMethods(this->message_methods),
-                [this](const std::string& method, const Json::Value& value) {
-                  this->OnPeerMessage(method, value);
-                }));
-        return {};
-      },
-      [](const Error& error) { LogError("peers_unavailable", error); });
-  if (is_open) {
-    LogEvent(LogLevel::kInfo, "peers_ready",
-             {{"address", this->context.settings.peer_address}});
-    this->UpdateRole();
-    this->SendHeartbeat();
-  }
+void MeshAgent::Collect(const OutcomeSummary& seen) {
+  this->handlers.on_outcomes(seen);
+  AddSummary(this->own_domain_outcomes, seen);
 }
 
-void MeshAgent::PublishRecord() {
-  this->context.port.publish_member(
-      {this->context.settings.name, this->OwnRecord()},
-      [this](PublishOutcome outcome) {
-        if (outcome != PublishOutcome::kDone && !this->context.is_leaving) {
-          this->retry_timer.StartOnce(kSecretRetry);
-        }
-      });
+void MeshAgent::OnLinkOpen() {
+  this->UpdateRole();
+  this->SendHeartbeat();
 }
 
 void MeshAgent::OnMemberChanges(const std::vector<MemberChange>& changes) {
@@ -198,8 +150,9 @@
       continue;
     }
     if (change.record) {
-      NoteRecord(this->context.members, *change.record, now);
-      this->PassOnMember(change.name);
+      if (NoteRecord(this->context.members, *change.record, now)) {
+        this->PassOnMember(change.name);
+      }
       continue;
     }
     RemoveMember(this->context.members, change.name);
@@ -215,10 +168,10 @@
     this->OnOutcome(parameters);
   } else if (method == kUnserved) {
     this->CollectUnserved(parameters["s"].asString());
-  } else if (method == kDigest) {
+  } else if (method == kDigestMethod) {
     this->OnDigest(parameters);
-  } else if (method == kMembersWanted) {
-    this->OnQuestion(parameters);
+  } else if (method == MemberExchange::Method()) {
+    this->exchange.OnQuestion(parameters);
   } else {
     this->handlers.on_message(method, parameters);
   }
@@ -246,40 +199,11 @@
 // Names the member with the next digest, which is sent at once.
 void MeshAgent::PassOnMember(const std::string& name) {
   if (this->current_role.is_aggregator) {
-    this->news.changed.insert(name);
+    this->exchange.NoteChange(name);
     this->ScheduleUrgentDigest();
   }
 }
 
-void MeshAgent::OnQuestion(const Json::Value& parameters) {
-  const auto question = DecodeQuestion(parameters);
-  if (!question) {
-    Count(this->context.metrics, "peer_messages_malformed");
-    return;
-  }
-  if (this->news.questions.empty()) {
-    this->answer_timer.StartOnce(kAnswerGap);
-  }
-  this->news.questions[question->sender].insert(question->domains.begin(),
-                                                question->domains.end());
-}
-
-void MeshAgent::AnswerQuestion() {
-  const auto question =
-      this->news.questions.extract(this->news.questions.begin());
-  const std::string address = this->AddressOf(question.key());
-  if (!address.empty()) {
-    Count(this->context.metrics, "member_lists_sent");
-    this->SendInParts({address}, {.sender = this->context.settings.name,
-                                  .members = DescribeDomains(
-                                      this->context.members, question.mapped(),
-                                      this->context.Now())});
-  }
-  if (!this->news.questions.empty()) {
-    this->answer_timer.StartOnce(kAnswerGap);
-  }
-}
-
 void MeshAgent::OnOutcome(const Json::Value& parameters) {
   const auto report = DecodeOutcome(parameters);
   if (!report) {
@@ -290,11 +214,9 @@
 }
 
 void MeshAgent::CollectOutcome(const OutcomeReport& report) {
-  const TimePoint now = this->context.Now();
   OutcomeSummary seen;
-  AddOutcome(seen, report, now);
-  this->handlers.on_outcomes(seen);
-  AddSummary(this->own_domain_outcomes, seen);
+  AddOutcome(seen, report, this->context.Now());
+  this->Collect(seen);
   if (IsUrgent(report.outcome)) {
     this->ScheduleUrgentDigest();
   }
@@ -313,7 +235,9 @@
     Count(this->context.metrics, "peer_messages_malformed");
     return;
   }
-  this->NoteMembers(*digest);
+  for (const std::string& name : this->exchange.TakeOver(*digest)) {
+    this->PassOnMember(name);
+  }
   const auto sender = this->context.members.members.find(digest->sender);
   if (sender != this->context.members.members.end()) {
     sender->second.heard_at = now;
@@ -324,7 +248,9 @@
   if (is_own_aggregator) {
     this->digest_at = now;
   }
-  this->NoteDomains(*digest);
+  this->exchange.Compare(*digest, [&](const std::string& failure_domain) {
+    return this->speaks_for(digest->sender, failure_domain);
+  });
   this->handlers.on_outcomes(digest->outcomes);
   this->handlers.on_digest(*digest);
   if (this->current_role.is_aggregator) {
@@ -336,33 +262,6 @@
   this->UpdateRole();
 }
 
-void MeshAgent::NoteMembers(const Digest& digest) {
-  for (const DigestMember& member : digest.members) {
-    const std::string& name = member.status.record.name;
-    if (name != this->context.settings.name &&
-        NoteStatus(this->context.members, member.status, member.age,
-                   this->context.Now())) {
-      this->PassOnMember(name);
-    }
-  }
-}
-
-void MeshAgent::NoteDomains(const Digest& digest) {
-  MembersQuestion question{.sender = this->context.settings.name};
-  for (const auto& [domain, view] : digest.domains) {
-    if (this->speaks_for(digest.sender, domain) &&
-        NoteDomainView(this->news, this->context.members, domain, view,
-                       this->context.Now())) {
-      question.domains.push_back(domain);
-    }
-  }
-  if (!question.domains.empty() && this->context.peers) {
-    Count(this->context.metrics, "member_lists_wanted");
-    this->context.peers->Send(this->AddressOf(digest.sender), kMembersWanted,
-                              EncodeQuestion(question));
-  }
-}
-
 // Aggregators hear of each failure domain from its own aggregator, and the
 // members of a domain of all from theirs.
 bool MeshAgent::speaks_for(const std::string& member,
@@ -378,7 +277,6 @@
 
 void MeshAgent::OnTick() {
   const TimePoint now = this->context.Now();
-  NoteStatus(this->context.members, this->OwnStatus(), Duration(0), now);
   if (!this->has_read_again && now - this->started_at > kStartTime) {
     this->has_read_again = true;
     this->follower.ReadNow();
@@ -456,46 +354,22 @@
   if (!this->current_role.is_aggregator || !this->context.peers) {
     return;
   }
-  const TimePoint now = this->context.Now();
   Digest digest{.sender = this->context.settings.name};
   this->handlers.fill_digest(digest);
   const std::string& own_domain = this->context.settings.failure_domain;
-  const bool is_domains_due = now - this->domains_sent_at >= kDomainsInterval;
-  if (is_domains_due) {
-    this->domains_sent_at = now;
-    NoteSilentMembers(this->news, this->context.members, now);
-    digest.domains[own_domain] =
-        ViewDomain(this->context.members, own_domain, now);
+  std::map<std::string, DomainView> views = this->exchange.TakeDueViews();
+  if (!views.empty()) {
+    digest.domains[own_domain] = views.at(own_domain);
   }
-  digest.members =
-      DescribeChanged(this->news, this->context.members, own_domain, now);
+  digest.members = this->exchange.Changed(own_domain);
   digest.outcomes = std::exchange(this->own_domain_outcomes, {});
-  this->SendInParts(this->OtherAggregatorAddresses(), digest);
+  SendInParts(this->context, this->OtherAggregatorAddresses(), digest);
   AddSummary(digest.outcomes, std::exchange(this->other_domain_outcomes, {}));
-  digest.members = DescribeChanged(this->news, this->context.members, "", now);
-  if (is_domains_due) {
-    digest.domains = this->AllDomainViews();
-  }
-  this->SendInParts(this->OwnDomainAddresses(), std::move(digest));
-  this->news.changed.clear();
-  this->digest_sent_at = now;
-}
-
-void MeshAgent::SendInParts(const std::vector<std::string>& addresses,
-                            Digest digest) {
-  for (const Digest& part : SplitMembers(std::move(digest), kMostMembers)) {
-    this->context.peers->SendToAll(addresses, kDigest,
-                                   EncodeDigest(part, this->context.Now()));
-  }
-}
-
-std::map<std::string, DomainView> MeshAgent::AllDomainViews() const {
-  std::map<std::string, DomainView> views;
-  for (const std::string& domain : FailureDomains(this->context.members)) {
-    views[domain] =
-        ViewDomain(this->context.members, domain, this->context.Now());
-  }
-  return views;
+  digest.members = this->exchange.Changed("");
+  digest.domains = std::move(views);
+  SendInParts(this->context, this->OwnDomainAddresses(), std::move(digest));
+  this->exchange.ForgetChanges();
+  this->digest_sent_at = this->context.Now();
 }
 
 std::vector<std::string> MeshAgent::OwnDomainAddresses() const {
@@ -526,24 +400,11 @@
 }
 
 std::string MeshAgent::AddressOf(const std::string& name) const {
-  const auto found = this->context.members.members.find(name);
-  return found == this->context.members.members.end()
-             ? ""
-             : found->second.status.record.peer_address;
-}
-
-MemberRecord MeshAgent::OwnRecord() const {
-  const GatewaySettings& settings = this->context.settings;
-  return {.name = settings.name,
-          .failure_domain = settings.failure_domain,
-          .request_address = settings.request_address,
-          .peer_address = settings.peer_address,
-          .incarnation = this->context.incarnation,
-          .capacity = settings.capacity};
+  return PeerAddressOf(this->context.members, name);
 }
 
 MemberStatus MeshAgent::OwnStatus() const {
-  return {.record = this->OwnRecord(),
+  return {.record = DescribeOwnInstance(this->context),
           .is_ready = this->context.routing && !this->context.is_leaving,
           .is_leaving = this->context.is_leaving,
           .duties = this->handlers.duties()};
--- a/libraries/gateway/mesh_agent.h
+++ b/libraries/gateway/mesh_agent.h
@@ -9,9 +9,10 @@
 
 #include "coordination/feed_follower.h"
 #include "event/timer.h"
+#include "gateway/fleet_link.h"
 #include "gateway/gateway_context.h"
+#include "gateway/member_exchange.h"
 #include "mesh/digest.h"
-#include "mesh/member_news.h"
 
 namespace parsleyquay {
 
@@ -64,17 +65,11 @@
   void ReportUnserved(const std::string& service);
 
  private:
-  void AgreeOnSecret();
-  void OpenLink(const std::string& secret);
-  void PublishRecord();
+  void OnLinkOpen();
   void OnMemberChanges(const std::vector<MemberChange>& changes);
   void OnPeerMessage(const std::string& method, const Json::Value& parameters);
   void OnHeartbeat(const Json::Value& parameters);
   void PassOnMember(const std::string& name);
-  void OnQuestion(const Json::Value& parameters);
-  void AnswerQuestion();
-  void NoteMembers(const Digest& digest);
-  void NoteDomains(const Digest& digest);
   bool speaks_for(const std::string& member,
                   const std::string& failure_domain) const;
   void OnOutcome(const Json::Value& parameters);
@@ -82,27 +77,24 @@
   void OnTick();
   void UpdateRole();
   void CollectOutcome(const OutcomeReport& report);
+  void Collect(const OutcomeSummary& seen);
   void CollectUnserved(const std::string& service);
   bool collects_itself() const;
   void ScheduleUrgentDigest();
   void SendHeartbeat();
   void SendDigest();
-  void SendInParts(const std::vector<std::string>& addresses, Digest digest);
-  std::map<std::string, DomainView> AllDomainViews() const;
   std::vector<std::string> OwnDomainAddresses() const;
   std::vector<std::string> OtherAggregatorAddresses() const;
   std::string AddressOf(const std::string& name) const;
-  MemberRecord OwnRecord() const;
   MemberStatus OwnStatus() const;
 
   GatewayContext& context;
-  std::vector<std::string> message_methods;
   Handlers handlers;
+  FleetLink link;
+  MemberExchange exchange;
   FeedFollower<MemberChange> follower;
   Timer tick_timer;
   Timer urgent_timer;
-  Timer retry_timer;
-  Timer answer_timer;
   TimePoint started_at;
   bool has_read_again = false;
   MeshRole current_role;
@@ -113,8 +105,6 @@
   OutcomeSummary own_domain_outcomes;
   OutcomeSummary other_domain_outcomes;
   TimePoint digest_sent_at;
-  MemberNews news;
-  TimePoint domains_sent_at;
   TimePoint heartbeat_sent_at;
 };
 
--- a/libraries/mesh/digest.h
+++ b/libraries/mesh/digest.h
@@ -55,6 +55,9 @@
   bool operator==(const MembersQuestion&) const = default;
 };
 
+// The method of a notification that carries a digest.
+constexpr char kDigestMethod[] = "digest";
+
 // Splits a digest so that each names no more than `most` members: a large fleet
 // does not fit one datagram. The first keeps all else.
 std::vector<Digest> SplitMembers(Digest digest, std::size_t most);
--- /dev/null
+++ b/tests/gateway/fleet_link_test.cc
@@ -0,0 +1,58 @@
+#include "gateway/fleet_link.h"
+
+#include <sodium.h>
+#include <catch2/catch.hpp>
+
+#include "platform/platform_dialect.h"
+#include "support/await.h"
+#include "support/scripted_server.h"
+
+namespace parsleyquay {
+namespace {
+
+// A store that turns the first writes of a record away.
+struct BusyStore {
+  int refusals = 0;
+  int secrets_read = 0;
+  int records_written = 0;
+
+  CoordinationPort port() {
+    CoordinationPort port;
+    port.agree_on_secret = [this](const std::string& proposal,
+                                  const auto& on_secret) {
+      ++this->secrets_read;
+      on_secret(proposal);
+    };
+    port.publish_member = [this](const MemberChange&, const auto& on_outcome) {
+      const bool is_refused = this->refusals > 0;
+      this->refusals -= is_refused ? 1 : 0;
+      this->records_written += is_refused ? 0 : 1;
+      on_outcome(is_refused ? PublishOutcome::kConflict
+                            : PublishOutcome::kDone);
+    };
+    return port;
+  }
+};
+
+TEST_CASE("only the record that was turned away is written again") {
+  REQUIRE(sodium_init() >= 0);
+  EventLoop loop;
+  HttpClient http(loop);
+  BusyStore store{.refusals = 2};
+  GatewaySettings settings;
+  settings.peer_address = FreeAddress();
+  GatewayContext context(loop, settings, http, store.port(),
+                         platform::MakePlatformDialect());
+  int opened = 0;
+  FleetLink link(context, {"heartbeat"},
+                 {.on_open = [&] { ++opened; },
+                  .on_message = [](const std::string&, const Json::Value&) {}});
+  link.Join();
+  CHECK(AwaitOn(
+      loop, [&] { return store.records_written == 1; }, seconds(5)));
+  CHECK(opened == 1);
+  CHECK(store.secrets_read == 1);
+}
+
+}  // namespace
+}  // namespace parsleyquay
