gateway: Log a held loop and a configuration that is known to be late

The logs could not tell an instance that is too busy to read a change from one whose read of the store hangs. `loop_held` names the time in which no event was served and the processor time used meanwhile; `configuration_behind` says once a second that a peer knows of more than this instance has read, and `configuration_accepted` now says for how long. Counters for digests and the outcomes they hold show a flood of them. No decision changes.

--- /dev/null
+++ b/libraries/event/loop_watch.h
@@ -0,0 +1,42 @@
+#ifndef PARSLEYQUAY_EVENT_LOOP_WATCH_H_
+#define PARSLEYQUAY_EVENT_LOOP_WATCH_H_
+
+#include <functional>
+
+#include "event/timer.h"
+
+namespace parsleyquay {
+
+// A time in which the loop served no event although one was due.
+struct LoopHold {
+  Duration held = Duration(0);
+  // What this process has computed meanwhile. Much of it means that an action
+  // ran for so long; little, that the machine was suspended or overloaded.
+  Duration processor = Duration(0);
+
+  bool operator==(const LoopHold&) const = default;
+};
+
+// Reports when the loop was held for longer than a limit.
+class LoopWatch {
+ public:
+  LoopWatch(EventLoop& loop,
+            Duration limit,
+            std::function<void(const LoopHold&)> on_hold);
+
+  void Start();
+
+ private:
+  void OnTick();
+
+  EventLoop& loop;
+  Duration limit;
+  std::function<void(const LoopHold&)> on_hold;
+  TimePoint ticked_at;
+  Duration processor_at_tick = Duration(0);
+  Timer timer;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_EVENT_LOOP_WATCH_H_
--- a/libraries/gateway/configuration_desk.cc
+++ b/libraries/gateway/configuration_desk.cc
@@ -24,6 +24,10 @@
 // connection that has gone silent does not.
 constexpr Duration kReadPatience = milliseconds(150);
 
+// An instance that knows for so long that it is behind says so, once in each
+// such time.
+constexpr Duration kBehindReportInterval = seconds(1);
+
 }  // namespace
 
 ConfigurationDesk::ConfigurationDesk(GatewayContext& context,
@@ -44,12 +48,38 @@
 
 void ConfigurationDesk::OnPeerPosition(std::uint64_t position) {
   this->told_position = std::max(this->told_position, position);
+  this->NoteBehind();
   if (position > this->position() && !this->is_patient) {
     this->is_patient = true;
     this->patience_timer.StartOnce(kReadPatience);
   }
 }
 
+void ConfigurationDesk::NoteBehind() {
+  if (this->told_position <= this->position()) {
+    this->behind_since.reset();
+    this->reported_behind = Duration(0);
+    return;
+  }
+  if (!this->behind_since) {
+    this->behind_since = this->context.Now();
+  }
+  if (this->behind() - this->reported_behind >= kBehindReportInterval) {
+    this->reported_behind = this->behind();
+    LogEvent(
+        LogLevel::kWarning, "configuration_behind",
+        {{"position", std::to_string(this->position())},
+         {"told_position", std::to_string(this->told_position)},
+         {"behind_ms", std::to_string(ToMilliseconds(this->behind()))},
+         {"store_available", this->follower.is_available() ? "yes" : "no"}});
+  }
+}
+
+Duration ConfigurationDesk::behind() const {
+  return this->behind_since ? this->context.Now() - *this->behind_since
+                            : Duration(0);
+}
+
 void ConfigurationDesk::ReadWhatWasTold() {
   this->is_patient = false;
   if (this->told_position > this->position()) {
@@ -74,6 +104,7 @@
     }
     this->Withdraw(std::get<DomainWithdrawal>(change));
   }
+  this->NoteBehind();
   if (this->withdrawn_domains != before) {
     this->on_withdrawals(this->withdrawn_domains);
   }
@@ -101,6 +132,7 @@
   LogEvent(LogLevel::kInfo, "configuration_accepted",
            {{"version", version},
             {"before", std::to_string(known)},
+            {"behind_ms", std::to_string(ToMilliseconds(this->behind()))},
             {"routes", std::to_string(configuration.routes.size())},
             {"workspaces", std::to_string(configuration.workspaces.size())}});
   this->context.routing =
--- a/libraries/gateway/configuration_desk.h
+++ b/libraries/gateway/configuration_desk.h
@@ -2,6 +2,7 @@
 #define PARSLEYQUAY_GATEWAY_CONFIGURATION_DESK_H_
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +41,8 @@
 
  private:
   void ReadWhatWasTold();
+  void NoteBehind();
+  Duration behind() const;
   void OnChanges(std::vector<OperatorChange> changes, ChangeSet set);
   void Accept(FleetConfiguration configuration);
   void Withdraw(const DomainWithdrawal& withdrawal);
@@ -52,6 +55,9 @@
   Timer patience_timer;
   bool is_patient = false;
   std::uint64_t told_position = 0;
+  // Since when peers know more than this instance; nothing when they do not.
+  std::optional<TimePoint> behind_since;
+  Duration reported_behind = Duration(0);
 };
 
 }  // namespace parsleyquay
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -18,6 +18,9 @@
 constexpr std::size_t kIncarnationBytes = 6;
 constexpr Duration kLogFlushInterval = milliseconds(200);
 
+// A quarter of what a change of configuration may take.
+constexpr Duration kLongestHold = milliseconds(500);
+
 // Shares of the time between SIGTERM and SIGKILL. Callers keep the addresses
 // they know for some seconds, so new connections are accepted for the first
 // part; requests under way may use the second.
@@ -60,6 +63,9 @@
             this->list.SetWithdrawnDomains(domains);
           }),
       flush_timer(loop, [] { FlushEventLog(); }),
+      loop_watch(loop,
+                 kLongestHold,
+                 [this](const LoopHold& hold) { this->OnLoopHeld(hold); }),
       leave_timer(loop, [this] { this->CheckFinished(); }) {
   this->context.incarnation = RandomHex(kIncarnationBytes);
 }
@@ -114,6 +120,7 @@
   this->mesh.Start();
   this->allowances.Start();
   this->flush_timer.StartRepeating(kLogFlushInterval);
+  this->loop_watch.Start();
   return {};
 }
 
@@ -211,6 +218,13 @@
   this->list.OnPeerChanges(digest);
 }
 
+void Gateway::OnLoopHeld(const LoopHold& hold) {
+  Count(this->context.metrics, "loop_holds");
+  LogEvent(LogLevel::kWarning, "loop_held",
+           {{"held_ms", std::to_string(ToMilliseconds(hold.held))},
+            {"processor_ms", std::to_string(ToMilliseconds(hold.processor))}});
+}
+
 void Gateway::OnRole(const MeshRole& role) {
   LogEvent(LogLevel::kInfo, "role",
            {{"aggregator", role.is_aggregator ? "yes" : "no"},
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "event/loop_watch.h"
 #include "gateway/allowance_desk.h"
 #include "gateway/configuration_desk.h"
 #include "gateway/gateway_context.h"
@@ -48,6 +49,7 @@
   void OnMetricsQuestion(ServerExchange& exchange);
   void OnDigest(const Digest& digest);
   void OnRole(const MeshRole& role);
+  void OnLoopHeld(const LoopHold& hold);
   void CheckFinished();
   bool is_ready() const;
   bool is_isolated() const;
@@ -64,6 +66,7 @@
   std::unique_ptr<HttpServer> directory_server;
   std::unique_ptr<HttpServer> metrics_server;
   Timer flush_timer;
+  LoopWatch loop_watch;
   Timer leave_timer;
   std::optional<TimePoint> leaving_since;
   bool has_stopped_listening = false;
--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -235,6 +235,9 @@
     Count(this->context.metrics, "peer_messages_malformed");
     return;
   }
+  Count(this->context.metrics, "digests_received");
+  Count(this->context.metrics, "outcomes_told",
+        CountOutcomes(digest->outcomes));
   for (const std::string& name : this->exchange.TakeOver(*digest)) {
     this->PassOnMember(name);
   }
--- a/libraries/mesh/outcome_summary.cc
+++ b/libraries/mesh/outcome_summary.cc
@@ -31,6 +31,16 @@
   }
 }
 
+std::uint64_t CountOutcomes(const OutcomeSummary& summary) {
+  std::uint64_t total = 0;
+  for (const auto& [name, server] : summary.servers) {
+    for (const auto& [outcome, count] : server.counts) {
+      total += static_cast<std::uint64_t>(count);
+    }
+  }
+  return total;
+}
+
 bool IsUrgent(Outcome outcome) {
   return outcome != Outcome::kServed && outcome != Outcome::kShed;
 }
--- a/libraries/mesh/outcome_summary.h
+++ b/libraries/mesh/outcome_summary.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_MESH_OUTCOME_SUMMARY_H_
 #define PARSLEYQUAY_MESH_OUTCOME_SUMMARY_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -45,6 +46,9 @@
 
 void AddSummary(OutcomeSummary& summary, const OutcomeSummary& other);
 
+// How many requests the summary speaks of.
+std::uint64_t CountOutcomes(const OutcomeSummary& summary);
+
 // Whether the outcome may change where others send their requests, so that it
 // is passed on at once.
 bool IsUrgent(Outcome outcome);
