--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -66,8 +66,9 @@
         on_outcome(PublishOutcome::kDone);
       };
   port.agree_on_secret =
-      [](const std::string& proposal,
-         const std::function<void(std::optional<std::string>)>& on_secret) {
+      [this](const std::string& proposal,
+             const std::function<void(std::optional<std::string>)>& on_secret) {
+        this->secret = proposal;
         on_secret(proposal);
       };
   return port;
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -122,6 +122,7 @@
   FakeFeed<ServerChange> servers{loop};
   FakeFeed<MemberChange> members{loop};
   GatewaySettings settings;
+  std::string secret;  // of the fleet; empty until the gateway asks for it
   std::unique_ptr<Gateway> gateway;
   std::vector<std::unique_ptr<ScriptedServer>> scripted;
 
