gateway: Pass outcomes on only from other failure domains

Cause: an aggregator passed the outcomes of every digest on to all members of its failure domain, also those of a second aggregator of the same domain. Each fresh instance acts as one until it has heard of the others, so after restarts there are two or more; two keep outcomes going back and forth every 5 ms, three double their counts with each pass. Learning takes time in proportion to the count, so the loop is held, for seconds and in the end for ever, and requests are handled before the configuration that has long arrived.

Evidence: tests/gateway/echoed_outcomes_test.cc failed before (60 outcomes for one; in force after 2.4 s, loop held for 641 and 979 ms) and passes now.

Why it works: a digest of the own failure domain already reached all its members, so nothing is lost, and no path is left on which an outcome can return: domains tell each other only what their own members saw. A sender that is not yet known is only learnt from.

--- a/libraries/gateway/mesh_agent.cc
+++ b/libraries/gateway/mesh_agent.cc
@@ -256,7 +256,14 @@
   });
   this->handlers.on_outcomes(digest->outcomes);
   this->handlers.on_digest(*digest);
-  if (this->current_role.is_aggregator) {
+  // An aggregator of the own failure domain, as a second one that has just
+  // started, has told all its members itself. Passed on here, its outcomes
+  // would come back to it as new ones.
+  const bool is_to_pass_on =
+      this->current_role.is_aggregator &&
+      IsOfAnotherDomain(this->context.members, digest->sender,
+                        this->context.settings.failure_domain);
+  if (is_to_pass_on) {
     AddSummary(this->other_domain_outcomes, digest->outcomes);
     if (HasUrgent(digest->outcomes)) {
       this->ScheduleUrgentDigest();
--- a/libraries/mesh/member_table.cc
+++ b/libraries/mesh/member_table.cc
@@ -149,6 +149,14 @@
   return ranked;
 }
 
+bool IsOfAnotherDomain(const MemberTable& table,
+                       const std::string& member,
+                       const std::string& failure_domain) {
+  const auto found = table.members.find(member);
+  return found != table.members.end() &&
+         !IsMemberOf(found->second, failure_domain);
+}
+
 std::set<std::string> FailureDomains(const MemberTable& table) {
   std::set<std::string> domains;
   std::ranges::transform(table.members, std::inserter(domains, domains.end()),
--- a/libraries/mesh/member_table.h
+++ b/libraries/mesh/member_table.h
@@ -98,6 +98,11 @@
                                          TimePoint now);
 
 // The failure domains of all members, in alphabetical order.
+// Whether a member is known to be of another failure domain.
+bool IsOfAnotherDomain(const MemberTable& table,
+                       const std::string& member,
+                       const std::string& failure_domain);
+
 std::set<std::string> FailureDomains(const MemberTable& table);
 
 std::vector<std::string> AllMemberNames(const MemberTable& table);
--- a/tests/gateway/echoed_outcomes_test.cc
+++ b/tests/gateway/echoed_outcomes_test.cc
@@ -22,9 +22,11 @@
 // Another aggregator of the gateway's failure domain, which passes on all that
 // it hears, as instances of earlier versions do.
 struct EchoingPeer {
-  EchoingPeer(GatewayFixture& fixture, const std::string& name)
+  EchoingPeer(GatewayFixture& fixture,
+              const std::string& name,
+              const std::string& failure_domain)
       : record({.name = name,
-                .failure_domain = fixture.settings.failure_domain,
+                .failure_domain = failure_domain,
                 .request_address = FreeAddress(),
                 .peer_address = FreeAddress(),
                 .incarnation = "i-" + name}),
@@ -95,8 +97,9 @@
   return names;
 }
 
+// The gateway is of failure domain "x", and so is peer b.
 struct ThreeAggregators : GatewayFixture {
-  ThreeAggregators() {
+  explicit ThreeAggregators(const std::string& domain_of_a = "x") {
     this->AddServer("s-1", [](const RawRequest& request) {
       return RawAnswer{GoodAnswer(request, "fine")};
     });
@@ -104,8 +107,8 @@
     REQUIRE(this->AwaitReady());
     REQUIRE(this->Await([&] { return !this->secret.empty(); }));
     const auto names = NamesRankedBehind(this->settings.name, 2);
-    this->a = std::make_unique<EchoingPeer>(*this, names[0]);
-    this->b = std::make_unique<EchoingPeer>(*this, names[1]);
+    this->a = std::make_unique<EchoingPeer>(*this, names[0], domain_of_a);
+    this->b = std::make_unique<EchoingPeer>(*this, names[1], "x");
     this->a->others = {this->settings.peer_address,
                        this->b->record.peer_address};
     this->b->others = {this->settings.peer_address,
@@ -136,6 +139,17 @@
   CHECK(fleet.b->heard_from_gateway == 0);
 }
 
+TEST_CASE(
+    "what an aggregator of another failure domain says is passed on once") {
+  ThreeAggregators fleet("y");
+  fleet.a->others = {fleet.settings.peer_address};
+  fleet.b->others = {};
+  fleet.a->Tell(fleet, fleet.OneFailure());
+  fleet.RunFor(milliseconds(600));
+  CHECK(fleet.a->heard_from_gateway == 0);
+  CHECK(fleet.b->heard_from_gateway == 1);
+}
+
 // Guards against a change of configuration that comes into force late, since
 // the instance is busy with outcomes that three aggregators multiply.
 TEST_CASE("a configuration is in force in time while aggregators echo") {
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -86,6 +86,13 @@
   CHECK(HearsMost(table, later));
 }
 
+TEST_CASE("only a member that is known can be of another failure domain") {
+  const MemberTable table = FiveMembers();
+  CHECK(IsOfAnotherDomain(table, "f", "x"));
+  CHECK_FALSE(IsOfAnotherDomain(table, "f", "y"));
+  CHECK_FALSE(IsOfAnotherDomain(table, "unknown", "x"));
+}
+
 TEST_CASE("an older status changes nothing") {
   MemberTable table = FiveMembers();
   MemberStatus old_status = Member("a", "x");
