belief: Learn any number of alike outcomes in a bounded time

An instance took in the outcomes of a digest one by one, in a loop whose length a message named: 2^28 of them held it for 8 s (tests/gateway/echoed_outcomes_test.cc, failed before). That is what made echoed outcomes so costly, and any other way in which a count grows would do the same.

The estimate has a bound on either side, and once it is there more of the same changes nothing, so the loop ends after about a dozen steps whatever the count. The result is the same as before for every count (tests/belief).

Looked for elsewhere: no other loop takes its length from a message.

--- a/libraries/belief/server_belief.cc
+++ b/libraries/belief/server_belief.cc
@@ -71,6 +71,21 @@
   return belief;
 }
 
+ServerBelief LearnRepeated(ServerBelief belief,
+                           const SpellModel& model,
+                           Outcome outcome,
+                           long count,
+                           TimePoint now) {
+  bool has_changed = true;
+  while (count > 0 && has_changed) {
+    const ServerBelief before = belief;
+    belief = Learn(belief, model, outcome, now);
+    has_changed = belief != before;
+    --count;
+  }
+  return belief;
+}
+
 double FailureProbability(const ServerBelief& belief, const SpellModel& model) {
   return belief.spell_probability * model.spell_failure_share +
          (1 - belief.spell_probability) * model.usual_failure_share;
--- a/libraries/belief/server_belief.h
+++ b/libraries/belief/server_belief.h
@@ -51,6 +51,14 @@
                    Outcome outcome,
                    TimePoint now);
 
+// Takes in the same outcome `count` times, in a time that does not grow with
+// the count: more of them change nothing once the estimate is at its bound.
+ServerBelief LearnRepeated(ServerBelief belief,
+                           const SpellModel& model,
+                           Outcome outcome,
+                           long count,
+                           TimePoint now);
+
 // The probability that the next request to the server fails.
 double FailureProbability(const ServerBelief& belief, const SpellModel& model);
 
--- a/libraries/gateway/server_desk.cc
+++ b/libraries/gateway/server_desk.cc
@@ -156,9 +156,7 @@
         CountEvents(this->served_rates[listed->second.listing.service],
                     static_cast<double>(count), now);
       }
-      for (long i = 0; i < count; ++i) {
-        this->LearnOne(server, outcome, summary.newest_at);
-      }
+      this->LearnOutcomes(server, outcome, count, summary.newest_at);
     }
   }
 }
@@ -245,13 +243,14 @@
           bounds.cold_slack};
 }
 
-void ServerDesk::LearnOne(const std::string& server,
-                          Outcome outcome,
-                          TimePoint at) {
+void ServerDesk::LearnOutcomes(const std::string& server,
+                               Outcome outcome,
+                               long count,
+                               TimePoint at) {
   ServerUse& use = this->UseOf(server);
   const double before = use.belief.spell_probability;
-  use.belief = parsleyquay::Learn(use.belief, this->model, outcome,
-                                  std::max(at, use.belief.updated_at));
+  use.belief = LearnRepeated(use.belief, this->model, outcome, count,
+                             std::max(at, use.belief.updated_at));
   const double after = use.belief.spell_probability;
   const bool is_doubtful = after >= kDoubtfulProbability;
   if (is_doubtful != (before >= kDoubtfulProbability)) {
--- a/libraries/gateway/server_desk.h
+++ b/libraries/gateway/server_desk.h
@@ -106,7 +106,10 @@
   bool IsPermitted(const std::string& server,
                    const RosterEntry& entry,
                    const ServerWish& wish);
-  void LearnOne(const std::string& server, Outcome outcome, TimePoint at);
+  void LearnOutcomes(const std::string& server,
+                     Outcome outcome,
+                     long count,
+                     TimePoint at);
   void NotePath(ServerUse& use, Outcome outcome);
   ColdBound ColdBoundOf(const std::string& service) const;
   void NoteWork(const ServerLease& lease);
--- a/tests/belief/server_belief_test.cc
+++ b/tests/belief/server_belief_test.cc
@@ -1,6 +1,7 @@
 #include "belief/server_belief.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <random>
 
 namespace parsleyquay {
@@ -22,6 +23,22 @@
   CHECK(Learn(belief, kModel, Outcome::kShed, kStart) == belief);
 }
 
+TEST_CASE("many alike outcomes count as if they came one by one") {
+  const ServerBelief start = MakeServerBelief(kModel, kStart);
+  for (const Outcome outcome :
+       {Outcome::kServed, Outcome::kFailed, Outcome::kBroken,
+        Outcome::kUnreachable, Outcome::kOverdue, Outcome::kShed}) {
+    ServerBelief one_by_one = start;
+    for (long count = 0; count <= 40; ++count) {
+      CHECK(LearnRepeated(start, kModel, outcome, count, kStart) == one_by_one);
+      one_by_one = Learn(one_by_one, kModel, outcome, kStart);
+    }
+    CHECK(LearnRepeated(start, kModel, outcome,
+                        std::numeric_limits<long>::max(),
+                        kStart) == one_by_one);
+  }
+}
+
 TEST_CASE("an older reading does not turn the clock back") {
   const ServerBelief belief =
       Learn(MakeServerBelief(kModel, kStart), kModel, Outcome::kServed, kStart);
--- a/tests/gateway/echoed_outcomes_test.cc
+++ b/tests/gateway/echoed_outcomes_test.cc
@@ -150,6 +150,22 @@
   CHECK(fleet.b->heard_from_gateway == 1);
 }
 
+// Guards against work in proportion to a number in a message: the instance that
+// reads it must go on serving.
+TEST_CASE("a digest of very many outcomes does not hold the loop") {
+  constexpr long kManyOutcomes = 1L << 28;
+  ThreeAggregators fleet("y");
+  OutcomeSummary outcomes = fleet.OneFailure();
+  outcomes.servers["s-1"].counts[Outcome::kFailed] = kManyOutcomes;
+  fleet.a->Tell(fleet, outcomes);
+  const TimePoint told_at = fleet.loop.Now();
+  REQUIRE(fleet.Await([&] {
+    return fleet.Ask(fleet.settings.metrics_address, "/")
+               .body.find("outcomes_told") != std::string::npos;
+  }));
+  CHECK(fleet.loop.Now() - told_at < milliseconds(500));
+}
+
 // Guards against a change of configuration that comes into force late, since
 // the instance is busy with outcomes that three aggregators multiply.
 TEST_CASE("a configuration is in force in time while aggregators echo") {
