coordination, platform: Trust no connection to the store that was idle

What callers would see: a change of configuration in force seconds after its bound.

Cause: a read of the store went out on any kept connection. One that has gone silent costs a read its whole time limit (1 s), and with several kept the next read took the next silent one. The read after a failure moreover waited for a change, up to 28 s, before it told whether the store answers.

Weighed: a new connection for each call (30 to 100 more a second on these sites, and a lost opening packet costs more than a lost answer); keep-alive probes (do not see a peer that acknowledges and stays silent).

The relay of standin-faults is a class of its own now, since the test needs it.

--- a/libraries/coordination/change_feed.h
+++ b/libraries/coordination/change_feed.h
@@ -26,6 +26,17 @@
   std::uint64_t next_position = 0;  // to read on from
 };
 
+// How one read of a feed is made.
+struct ReadTerms {
+  Duration wait = Duration(0);  // for the next change, where there is none yet
+  Duration timeout = seconds(1);
+  // A kept connection may have gone silent; only a new one shows whether the
+  // feed answers.
+  bool needs_new_connection = false;
+
+  bool operator==(const ReadTerms&) const = default;
+};
+
 // Ends a read; its answer no longer comes.
 using CancelRead = std::function<void()>;
 
@@ -35,15 +46,11 @@
 struct ChangeFeed {
   using OnRead = std::function<void(FeedRead<Change>)>;
 
-  // Reads the newest change of every key.
-  std::function<CancelRead(Duration timeout, OnRead)> read_all;
+  // Reads the newest change of every key, without a wait.
+  std::function<CancelRead(const ReadTerms&, OnRead)> read_all;
 
-  // Reads what came from a position on; with nothing there, waits up to `wait`
-  // for the next change.
-  std::function<CancelRead(std::uint64_t position,
-                           Duration wait,
-                           Duration timeout,
-                           OnRead)>
+  // Reads what came from a position on.
+  std::function<CancelRead(std::uint64_t position, const ReadTerms&, OnRead)>
       read_from;
 };
 
--- a/libraries/coordination/feed_follower.h
+++ b/libraries/coordination/feed_follower.h
@@ -50,13 +50,13 @@
         plan(plan),
         handlers(std::move(handlers)),
         loop(loop),
-        timer(loop, [this] { this->Read(this->plan.wait); }) {}
+        timer(loop, [this] { this->ReadNext(); }) {}
 
   ~FeedFollower() { this->Stop(); }
   FeedFollower(const FeedFollower&) = delete;
   FeedFollower& operator=(const FeedFollower&) = delete;
 
-  void Start() { this->Read(Duration(0)); }
+  void Start() { this->Read({.timeout = this->plan.timeout}); }
 
   void Stop() {
     this->timer.Stop();
@@ -73,13 +73,14 @@
     }
   }
 
-  // Reads at once, in place of a read that waits for a change.
+  // Reads at once, in place of a read that waits for a change, and on a new
+  // connection: the one that waits may have gone silent.
   void ReadNow() {
     if (this->cancel && !this->is_waiting) {
       return;
     }
     this->CancelCurrent();
-    this->Read(Duration(0));
+    this->Read({.timeout = this->plan.timeout, .needs_new_connection = true});
   }
 
   // The position up to which all changes are known; nothing at first.
@@ -118,7 +119,18 @@
     }
   }
 
-  void Read(Duration wait) {
+  // After an unsuccessful read the next one waits for no change, so that it is
+  // known soon whether the feed answers again.
+  void ReadNext() {
+    if (this->failures > 0) {
+      this->Read({.timeout = this->plan.timeout, .needs_new_connection = true});
+      return;
+    }
+    this->Read({.wait = this->plan.wait,
+                .timeout = this->plan.wait + this->plan.timeout});
+  }
+
+  void Read(ReadTerms terms) {
     this->timer.Stop();
     if (this->cancel) {
       return;
@@ -128,14 +140,14 @@
       this->cancel = nullptr;
       this->OnRead(std::move(read), sent_at);
     };
-    this->is_waiting = this->next_position && wait > Duration(0);
-    this->cancel =
-        this->next_position
-            ? this->feed.read_from(*this->next_position, wait,
-                                   wait + this->plan.timeout,
-                                   std::move(on_read))
-            : this->feed.read_all(this->plan.timeout * kWholeReadFactor,
-                                  std::move(on_read));
+    this->is_waiting = this->next_position && terms.wait > Duration(0);
+    if (this->next_position) {
+      this->cancel =
+          this->feed.read_from(*this->next_position, terms, std::move(on_read));
+      return;
+    }
+    terms.timeout = this->plan.timeout * kWholeReadFactor;
+    this->cancel = this->feed.read_all(terms, std::move(on_read));
   }
 
   void OnRead(FeedRead<Change> read, TimePoint sent_at) {
@@ -155,7 +167,7 @@
                {{"feed", this->name},
                 {"position", std::to_string(*this->next_position)}});
       this->next_position.reset();
-      this->Read(Duration(0));
+      this->Read({.timeout = this->plan.timeout});
       return;
     }
     const ChangeSet set =
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -49,6 +49,8 @@
                    ToMilliseconds(this->request.connect_timeout));
   curl_easy_setopt(this->easy, CURLOPT_TIMEOUT_MS,
                    ToMilliseconds(this->request.total_timeout));
+  curl_easy_setopt(this->easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(ToSeconds(this->request.longest_idle)));
   if (this->request.connection_use == ConnectionUse::kFresh) {
     curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L);
   }
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -30,6 +30,8 @@
   std::string target;   // path and query
   HeaderList headers;
   ConnectionUse connection_use = ConnectionUse::kReusable;
+  // A kept-alive connection that was idle for longer is not used, to a second.
+  Duration longest_idle = seconds(118);
   Duration connect_timeout = seconds(1);
   Duration total_timeout = seconds(0);  // 0: none
   bool has_body = false;
--- /dev/null
+++ b/tests/gateway/configuration_desk_test.cc
@@ -0,0 +1,119 @@
+// How an instance keeps up with the operators' configuration over connections
+// to the store that fail.
+
+#include "gateway/configuration_desk.h"
+
+#include <sodium.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "http/http_server.h"
+#include "platform/platform_dialect.h"
+#include "platform/platform_port.h"
+#include "store_model.h"
+#include "support/await.h"
+#include "support/scripted_server.h"
+#include "tcp_relay.h"
+
+namespace parsleyquay {
+namespace {
+
+constexpr Duration kInForce = seconds(2);  // the bound for a change
+constexpr Duration kDigestInterval = milliseconds(250);
+
+std::string Version(int version) {
+  return R"({"version":)" + std::to_string(version) + R"(,"resources":[]})";
+}
+
+// One instance's desk, the store stand-in, and a relay between the two.
+struct DeskFixture {
+  DeskFixture() {
+    REQUIRE(sodium_init() >= 0);
+    RunOrReport(
+        [&]() -> Result<void> {
+          BOOST_LEAF_ASSIGN(
+              this->server,
+              HttpServer::Create(
+                  this->loop, this->store_address,
+                  [this](const std::shared_ptr<ServerExchange>& exchange) {
+                    this->model.Serve(0, exchange);
+                  }));
+          BOOST_LEAF_ASSIGN(this->relay,
+                            TcpRelay::Create(this->loop, this->relay_address,
+                                             this->store_address));
+          return {};
+        },
+        [](const Error& error) { FAIL(ToString(error)); });
+    this->Publish(1);
+    this->desk.Start();
+    REQUIRE(this->AwaitVersion(1, seconds(5)));
+  }
+
+  void Publish(int version) {
+    bool is_done = false;
+    this->operators.Fetch({.method = "POST",
+                           .address = this->store_address,
+                           .target = "/control?put=keyed.op&key=config"},
+                          Version(version),
+                          [&](const SimpleAnswer&) { is_done = true; });
+    REQUIRE(AwaitOn(
+        this->loop, [&] { return is_done; }, seconds(5)));
+    ++this->published;
+  }
+
+  // Reads that run at the same time leave as many kept connections behind.
+  void KeepConnections(int count) {
+    int done = 0;
+    for (int i = 0; i < count; ++i) {
+      this->context.port.members.read_all(
+          {.timeout = seconds(5)},
+          [&](const FeedRead<MemberChange>&) { ++done; });
+    }
+    REQUIRE(AwaitOn(
+        this->loop, [&] { return done == count; }, seconds(5)));
+  }
+
+  // Digests of a peer that has read all that was published.
+  void HearDigests() { this->digest_timer.StartRepeating(kDigestInterval); }
+
+  bool AwaitVersion(std::uint64_t version, Duration patience) {
+    return AwaitOn(
+        this->loop,
+        [&] { return this->context.configuration_version() == version; },
+        patience);
+  }
+
+  EventLoop loop;
+  HttpClient operators{loop};
+  HttpClient store_client{loop};
+  std::string store_address = FreeAddress();
+  std::string relay_address = FreeAddress();
+  StoreModel model{loop};
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<TcpRelay> relay;
+  std::uint64_t published = 0;
+  GatewayContext context{
+      loop, GatewaySettings{}, store_client,
+      platform::MakePlatformPort(
+          std::make_shared<platform::StoreClient>(store_client, relay_address),
+          12),
+      platform::MakePlatformDialect()};
+  ConfigurationDesk desk{context, [] {}, [](const std::set<std::string>&) {}};
+  Timer digest_timer{loop,
+                     [this] { this->desk.OnPeerPosition(this->published); }};
+};
+
+// Guards against a change that comes into force late, since the read of it is
+// sent on one kept connection after the other that has gone silent.
+TEST_CASE("a change is in force in time although kept connections are silent") {
+  DeskFixture fixture;
+  fixture.KeepConnections(4);
+  fixture.relay->SilenceOpenConnections();
+  fixture.Publish(2);
+  fixture.HearDigests();
+  CHECK(fixture.AwaitVersion(2, kInForce));
+}
+
+}  // namespace
+}  // namespace parsleyquay
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -259,7 +259,8 @@
   const auto read = [&] {
     std::optional<FeedRead<MemberChange>> all;
     fixture.port.members.read_all(
-        seconds(1), [&](FeedRead<MemberChange> got) { all = std::move(got); });
+        {.timeout = seconds(1)},
+        [&](FeedRead<MemberChange> got) { all = std::move(got); });
     REQUIRE(fixture.Await([&] { return all.has_value(); }));
     return all->changes;
   };
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -27,14 +27,15 @@
 
   ChangeFeed<Change> feed() {
     return {.read_all =
-                [this](Duration, typename ChangeFeed<Change>::OnRead on_read) {
+                [this](const ReadTerms&,
+                       typename ChangeFeed<Change>::OnRead on_read) {
                   return this->Add({std::nullopt, std::move(on_read)});
                 },
             .read_from =
-                [this](std::uint64_t position, Duration wait, Duration,
+                [this](std::uint64_t position, const ReadTerms& terms,
                        typename ChangeFeed<Change>::OnRead on_read) {
                   return this->Add(
-                      {position, std::move(on_read), wait > Duration(0)});
+                      {position, std::move(on_read), terms.wait > Duration(0)});
                 }};
   }
 
--- a/utilities/standins/standin_faults.cc
+++ b/utilities/standins/standin_faults.cc
@@ -22,7 +22,6 @@
 #include <charconv>
 #include <iostream>
 #include <list>
-#include <map>
 #include <random>
 #include <set>
 
@@ -31,6 +30,7 @@
 #include "event/timer.h"
 #include "http/request_target.h"
 #include "standin_server.h"
+#include "tcp_relay.h"
 
 DEFINE_string(host, "127.0.0.1", "ip to serve on");
 DEFINE_string(control, "127.0.0.1:7990", "ip:port of the control server");
@@ -69,60 +69,6 @@
   return reinterpret_cast<const sockaddr*>(&address);
 }
 
-// One TCP connection between an instance and the platform.
-class TcpRelay {
- public:
-  TcpRelay(EventLoop& loop, int client, int server)
-      : client(client),
-        server(server),
-        client_watcher(loop,
-                       [this](int) { this->Move(this->client, this->server); }),
-        server_watcher(loop, [this](int) {
-          this->Move(this->server, this->client);
-        }) {
-    this->client_watcher.Start(client, EV_READ);
-    this->server_watcher.Start(server, EV_READ);
-  }
-  ~TcpRelay() { this->Close(); }
-
-  void Close() {
-    if (this->client >= 0) {
-      this->client_watcher.Stop();
-      this->server_watcher.Stop();
-      close(this->client);
-      close(this->server);
-      this->client = -1;
-      this->server = -1;
-    }
-  }
-  bool is_closed() const { return this->client < 0; }
-
- private:
-  void Move(int from, int to) {
-    std::array<char, kBufferBytes> buffer;
-    const ssize_t size = read(from, buffer.data(), buffer.size());
-    if (size <= 0) {
-      this->Close();
-      return;
-    }
-    ssize_t sent = 0;
-    while (sent < size) {
-      const ssize_t step = write(to, buffer.data() + sent,
-                                 static_cast<std::size_t>(size - sent));
-      if (step <= 0) {
-        this->Close();
-        return;
-      }
-      sent += step;
-    }
-  }
-
-  int client;
-  int server;
-  IoWatcher client_watcher;
-  IoWatcher server_watcher;
-};
-
 class FaultProxy {
  public:
   explicit FaultProxy(EventLoop& loop)
@@ -150,13 +96,10 @@
       this->SetLinks(heal, false);
     }
     if (const auto cut = QueryValue(target, "log_cut"); !cut.empty()) {
-      this->log_cuts.insert(ToInt(cut));
-      for (const auto& relay : this->relays[ToInt(cut)]) {
-        relay->Close();
-      }
+      this->RelayOf(cut).Cut();
     }
     if (const auto heal = QueryValue(target, "log_heal"); !heal.empty()) {
-      this->log_cuts.erase(ToInt(heal));
+      this->RelayOf(heal).Heal();
     }
     if (const auto text = QueryValue(target, "delay_ms"); !text.empty()) {
       this->delay = Milliseconds(std::stod(text));
@@ -211,20 +154,20 @@
   }
 
   bool OpenLogPort(int index) {
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    const int on = 1;
-    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const sockaddr_in address = LocalAddress(FLAGS_first_log_port + index);
-    if (bind(descriptor, Raw(address), sizeof(address)) != 0 ||
-        listen(descriptor, SOMAXCONN) != 0) {
-      return false;
-    }
-    auto watcher = std::make_unique<IoWatcher>(
-        this->loop,
-        [this, index, descriptor](int) { this->OnConnect(index, descriptor); });
-    watcher->Start(descriptor, EV_READ);
-    this->watchers.push_back(std::move(watcher));
-    return true;
+    const std::string address =
+        FLAGS_host + ":" + std::to_string(FLAGS_first_log_port + index);
+    return RunOrReport(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(
+              relay, TcpRelay::Create(this->loop, address, FLAGS_platform));
+          this->relays.push_back(std::move(relay));
+          return {};
+        },
+        [](const Error& error) { std::cerr << ToString(error) << '\n'; });
+  }
+
+  TcpRelay& RelayOf(const std::string& instance) {
+    return *this->relays.at(static_cast<std::size_t>(ToInt(instance)));
   }
 
   void OnDatagram(int receiver) {
@@ -274,33 +217,6 @@
     }
   }
 
-  void OnConnect(int index, int listener) {
-    const int client = accept(listener, nullptr, nullptr);
-    if (client < 0) {
-      return;
-    }
-    auto& own = this->relays[index];
-    own.remove_if([](const auto& relay) { return relay->is_closed(); });
-    if (this->log_cuts.contains(index)) {
-      close(client);
-      return;
-    }
-    const int server = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = {};
-    RunOrReport(
-        [&]() -> Result<void> {
-          BOOST_LEAF_ASSIGN(address, ParseSocketAddress(FLAGS_platform));
-          return {};
-        },
-        [](const Error&) {});
-    if (connect(server, Raw(address), sizeof(address)) != 0) {
-      close(client);
-      close(server);
-      return;
-    }
-    own.push_back(std::make_unique<TcpRelay>(this->loop, client, server));
-  }
-
   EventLoop& loop;
   std::mt19937_64 random;
   Timer delay_timer;
@@ -309,9 +225,8 @@
   std::vector<int> peer_sockets;
   std::vector<std::unique_ptr<IoWatcher>> watchers;
   std::set<std::pair<int, int>> cuts;
-  std::set<int> log_cuts;
   std::list<Delayed> delayed;
-  std::map<int, std::list<std::unique_ptr<TcpRelay>>> relays;
+  std::vector<std::unique_ptr<TcpRelay>> relays;  // by instance
 };
 
 int Run() {
