coordination: Let a new plan end a read that still waits by the old one

Who became aggregator kept the waiting read it had (28 s and 1 s more). If its connection had gone silent it noticed neither a change nor the silence meanwhile, although the others of its failure domain rely on it for both.

Why it works: a plan with a shorter wait replaces a read that waits. One more call to the store for each change of role.

--- a/libraries/coordination/feed_follower.h
+++ b/libraries/coordination/feed_follower.h
@@ -63,13 +63,17 @@
     this->CancelCurrent();
   }
 
+  // Takes effect at once, also on a read that waits for a change.
   void SetPlan(FollowPlan new_plan) {
     if (new_plan == this->plan) {
       return;
     }
+    const bool ends_sooner = new_plan.wait < this->plan.wait;
     this->plan = new_plan;
     if (!this->cancel) {
       this->timer.StartOnce(this->plan.interval);
+    } else if (this->is_waiting && ends_sooner) {
+      this->ReadNow();
     }
   }
 
--- a/tests/gateway/configuration_desk_test.cc
+++ b/tests/gateway/configuration_desk_test.cc
@@ -115,5 +115,19 @@
   CHECK(fixture.AwaitVersion(2, kInForce));
 }
 
+// Guards against a role that begins late: until its waiting read ends, who
+// becomes an aggregator would notice no change and no silence.
+TEST_CASE("who is to watch for others does not wait for its last read") {
+  DeskFixture fixture;
+  fixture.KeepConnections(4);
+  // Until the read that waits is under way.
+  AwaitOn(
+      fixture.loop, [] { return false; }, milliseconds(100));
+  fixture.relay->SilenceOpenConnections();
+  fixture.desk.SetWatchful(true);
+  fixture.Publish(2);
+  CHECK(fixture.AwaitVersion(2, kInForce));
+}
+
 }  // namespace
 }  // namespace parsleyquay
