--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -162,6 +162,27 @@
                       milliseconds(500)));
 }
 
+// Guards against an instance that comes back late to a storm of changes and
+// works its way through all that have been replaced.
+TEST_CASE("of changes that were missed only the newest of each key is read") {
+  StoreFixture fixture;
+  constexpr int kChanges = 40;
+  for (int i = 1; i <= kChanges; ++i) {
+    fixture.Control("put=keyed.servers&key=a", Server(i));
+    fixture.Control("put=keyed.servers&key=b", Server(i));
+  }
+  fixture.Control("drop=keyed.servers&key=b");
+  fixture.Control("put=keyed.servers&key=a", "no server at all");
+  std::optional<FeedRead<ServerChange>> read;
+  fixture.port.servers.read_from(
+      0, {}, [&](FeedRead<ServerChange> got) { read = std::move(got); });
+  REQUIRE(fixture.Await([&] { return read.has_value(); }));
+  CHECK(read->next_position == 2 * kChanges + 2);
+  REQUIRE(read->changes.size() == 2);
+  CHECK(read->changes[0].listing->sequence == kChanges);
+  CHECK(read->changes[1] == ServerChange{"b", std::nullopt});
+}
+
 TEST_CASE("instances that start together agree on one secret") {
   StoreFixture fixture;
   std::map<int, std::string> secrets;
