platform: Refuse entries of servers with impossible numbers, ports and ids

Another writer's entry may name slots beyond any server, port 0, or an id with line ends, which would add a header to each request; all were taken. Text that is nested very deeply and fields of another type than object were refused only because the error handling around the decoders catches what the parser throws; a record of the fleet's own topic has no such handling.

The tests of numbers and ports failed before on "slots" of 2^64 - 1, 2^63 and 1e18 and on port 0; those of nesting passed before and keep it so. No process ended on any of them.

--- a/libraries/base/socket_address.cc
+++ b/libraries/base/socket_address.cc
@@ -21,7 +21,8 @@
   const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
   const bool is_port = parsed.ec == std::errc() && parsed.ptr == end;
   const std::string host = text.substr(0, colon);
-  if (!is_port || inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1) {
+  if (!is_port || port == 0 ||
+      inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1) {
     return std::nullopt;
   }
   address.sin_port = htons(port);
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -2,6 +2,7 @@
 
 #include "base/random_id.h"
 #include "platform/configuration_decoder.h"
+#include "platform/json_fields.h"
 #include "platform/platform_dialect.h"
 #include "platform/record_frames.h"
 #include "platform/server_decoder.h"
@@ -115,6 +116,67 @@
   CHECK_FALSE(IsServer(changed(R"("seq":4)", R"("seq":-4)")));
 }
 
+// Guards against an entry of another writer that ends every process which reads
+// the list.
+TEST_CASE("an entry that is nested very deeply names no server") {
+  for (const std::size_t depth : {999, 1'000, 1'001, 100'000}) {
+    const std::string open(depth, '[');
+    const std::string close(depth, ']');
+    CHECK_FALSE(ParseObject("{\"a\":" + open));
+    CHECK_FALSE(IsServer(open));
+    CHECK_FALSE(IsServer(open + close));
+    CHECK_FALSE(IsServer("{\"service\":" + open + close + "}"));
+    CHECK_FALSE(
+        IsConfiguration("{\"version\":1,\"resources\":" + open + close + "}"));
+  }
+}
+
+TEST_CASE("numbers and ports out of range name no server") {
+  const auto entry = [](const std::string& address, const std::string& slots,
+                        const std::string& cold, const std::string& sequence) {
+    return R"({"service":"s1","address":")" + address +
+           R"(","zone":"z","version":"v1","slots":)" + slots +
+           R"(,"state":"ready","cold_remaining":")" + cold + R"(","seq":)" +
+           sequence + "}";
+  };
+  REQUIRE(IsServer(entry("10.0.0.9:8080", "3", "0ms", "4")));
+  for (const char* address :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999999999999",
+        "10.0.0.9:-1", "10.0.0.9:", "10.0.0.9", "10.0.0.900:80", ""}) {
+    CHECK_FALSE(IsServer(entry(address, "3", "0ms", "4")));
+  }
+  for (const char* number :
+       {"1e400", "-1", "18446744073709551615", "99999999999999999999999",
+        "9223372036854775808", "1e18", "3.5"}) {
+    CHECK_FALSE(IsServer(entry("10.0.0.9:8080", number, "0ms", "4")));
+  }
+  for (const char* cold : {"1e400ms", "1e18s", "-1ms", "nans", "infs"}) {
+    CHECK_FALSE(IsServer(entry("10.0.0.9:8080", "3", cold, "4")));
+  }
+  for (const char* sequence : {"1e400", "-1", "99999999999999999999999"}) {
+    CHECK_FALSE(IsServer(entry("10.0.0.9:8080", "3", "0ms", sequence)));
+  }
+}
+
+TEST_CASE("a key that would add a header is no id of a server") {
+  CHECK(IsServerId("i-7f3a91c2"));
+  for (const char* key : {"", "i 1", "i\r\nTenant: other", "i\t", "\x80"}) {
+    CHECK_FALSE(IsServerId(key));
+  }
+}
+
+TEST_CASE("fields that are no objects where one is due end nothing") {
+  for (const char* text :
+       {R"({"version":7,"resources":[{"resource_kind":"routes",
+            "metadata":"m","spec":{"host":"a","path_prefix":"/",
+            "kind":"safe","traffic_split":[1]}}]})",
+        R"({"version":7,"resources":[{"resource_kind":"routes",
+            "metadata":[],"spec":{"host":"a","path_prefix":"/",
+            "kind":"safe","traffic_split":["s"]}}]})"}) {
+    CHECK_FALSE(IsConfiguration(text));
+  }
+}
+
 TEST_CASE("records are framed and a torn page is refused") {
   const std::string header =
       std::string(7, '\0') + '\x05' + std::string(7, '\0') + '\x02';
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -95,9 +95,10 @@
   StoreFixture fixture;
   fixture.Control("put=keyed.servers&key=a", Server(1));
   fixture.Control("put=keyed.servers&key=b", "no server at all");
+  fixture.Control("put=keyed.servers&key=c", std::string(100'000, '['));
   Follower follower(fixture);
   REQUIRE(fixture.Await([&] { return follower.sequences["a"] == 1; }));
-  CHECK_FALSE(follower.sequences.contains("b"));
+  CHECK(follower.sequences.size() == 1);
   fixture.Control("put=keyed.servers&key=a", Server(2));
   CHECK(fixture.Await([&] { return follower.sequences["a"] == 2; },
                       milliseconds(500)));
