gateway: Believe a refusal only if it bears the request's id

What callers would see: "not run" of a request that a server was running, and a request that may run once sent to a second server.

Cause: a head that says "not run" was believed before its id was looked at. A faulty server that writes an earlier refusal once more on a kept connection, as operators of systems like this one reported, was taken at its word.

Evidence: "a refusal of another request says nothing of this one" failed before: a POST that may run once was answered 200 by a second server after the first had taken it; a GET was answered 503. Now 502 for both.

Why it works: servers echo the id in each answer, refusals included; one without it, or with another, promises nothing of this request.

--- a/libraries/gateway/request_attempt.cc
+++ b/libraries/gateway/request_attempt.cc
@@ -151,16 +151,18 @@
   const Dialect& dialect = this->context.dialect;
   const HeaderList& headers = this->attempt.headers;
   const int status = this->attempt.status;
+  // Before a refusal is believed: one of an earlier request may be repeated.
+  if (HeaderText(headers, dialect.request_id) != this->request_id) {
+    return AttemptEnd::kWrongAnswer;
+  }
   if (status == kMisdirectedStatus ||
       FindHeader(headers, dialect.not_run) != nullptr) {
     return AttemptEnd::kShed;
   }
-  const bool is_echoed =
-      HeaderText(headers, dialect.request_id) == this->request_id;
   const bool is_signed =
       FindHeader(headers, dialect.answer_signature) != nullptr;
   const bool is_encoded = FindHeader(headers, "Content-Encoding") != nullptr;
-  if (!is_echoed || is_encoded || (IsSuccess(status) && !is_signed)) {
+  if (is_encoded || (IsSuccess(status) && !is_signed)) {
     return AttemptEnd::kWrongAnswer;
   }
   if (status >= kFirstServerError) {
--- a/tests/gateway/answers_test.cc
+++ b/tests/gateway/answers_test.cc
@@ -2,6 +2,7 @@
 // answers and every kind that is not.
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <memory>
 
 #include "support/gateway_fixture.h"
@@ -264,6 +265,33 @@
          "\r\nResponse-Signature: sig\r\nConnection: close\r\n\r\n" + body;
 }
 
+// Guards against an earlier refusal, written once more on a kept connection, by
+// which a caller was told "not run" of a request that ran.
+TEST_CASE("a refusal of another request says nothing of this one") {
+  const auto repeat_refusal = [](const RawRequest& request) {
+    RawRequest earlier = request;
+    earlier.head = "GET / HTTP/1.1\r\nRequest-Id: r-earlier";
+    return RawAnswer{
+        AnswerWith(earlier, "503 Full", "Not-Executed: 1\r\n", "x")};
+  };
+  SECTION("what may run once is not sent again, nor said not to have run") {
+    TwoServers fixture(repeat_refusal);
+    const SimpleAnswer answer = fixture.SendUntilBad("POST", "/once/1", "x");
+    CHECK(answer.status == 502);
+  }
+  SECTION("what may repeat is not said not to have run") {
+    OneServer fixture(repeat_refusal);
+    CHECK(fixture.Send("GET", "/safe/1").status == 502);
+  }
+  SECTION("nor is a refusal without an id believed") {
+    OneServer fixture([](const RawRequest&) {
+      return RawAnswer{
+          "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+    });
+    CHECK(fixture.Send("POST", "/once/1", {}, "x").status == 502);
+  }
+}
+
 TEST_CASE("an answer without length ends with its connection") {
   OneServer fixture([](const RawRequest& request) {
     return RawAnswer{WithoutLength(request, "all of it"),
