http, gateway: Stop reading an answer that has no end and is none

What callers would see: no answer until their time is up, and an instance that is killed for its memory.

Cause: the body after a head that shows a failure was held without a bound, and one after a refusal or an unsigned success was read on until the deadline; heads were bounded by nothing of ours.

Now the connection is closed after 64 KB of body or of head, and the caller has 502 (503 after a refusal) within half a second.

Why it works: such bytes are of no use to the caller, so nothing is lost with them; a refusal still counts as one, since its head is whole.

--- a/libraries/gateway/request_attempt.cc
+++ b/libraries/gateway/request_attempt.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t kHeldRepeatableBytes = 640 * 1024;
 constexpr std::size_t kHeldOnceBytes = 64 * 1024;
 
+// Failures and refusals explain themselves in a few lines.
+constexpr std::size_t kMostFaultyBytes = 64 * 1024;
+
 // Machines answer the opening of a connection within a few milliseconds. What
 // is not answered was not sent, so another server can be tried.
 constexpr Duration kConnectTimeout = milliseconds(200);
@@ -179,18 +182,32 @@
     this->exchange->Write(data);
     return true;
   }
-  if (this->attempt.fault && *this->attempt.fault != AttemptEnd::kServerError) {
+  if (this->attempt.fault) {
+    this->TakeFaultyData(data);
     return true;
   }
   this->attempt.held += data;
   const std::size_t most =
       this->route().is_idempotent ? kHeldRepeatableBytes : kHeldOnceBytes;
-  if (!this->attempt.fault && this->attempt.held.size() > most) {
+  if (this->attempt.held.size() > most) {
     this->BeginAnswer(ReadUnsigned(this->attempt.headers, "Content-Length"));
   }
   return true;
 }
 
+// What follows a head that shows a fault is read on, so that the connection can
+// be kept, but not without end.
+void RequestFlow::TakeFaultyData(std::string_view data) {
+  this->attempt.faulty_bytes += data.size();
+  if (this->attempt.faulty_bytes > kMostFaultyBytes) {
+    this->attempt.call->Break();
+    return;
+  }
+  if (*this->attempt.fault == AttemptEnd::kServerError) {
+    this->attempt.held += data;
+  }
+}
+
 void RequestFlow::OnDone(const CallResult& result) {
   this->attempt.call = nullptr;
   switch (result.outcome) {
--- a/libraries/gateway/request_flow.h
+++ b/libraries/gateway/request_flow.h
@@ -50,7 +50,8 @@
     std::size_t body_sent = 0;  // of the held body
     int status = 0;
     HeaderList headers;
-    std::string held;  // of the answer, until it is whole or large
+    std::string held;              // of the answer, until it is whole or large
+    std::size_t faulty_bytes = 0;  // after a head that shows a fault
     std::optional<AttemptEnd> fault;  // found in the head
     bool is_overdue = false;
     std::optional<ReportedLoad> load;
@@ -70,6 +71,7 @@
   void OnHead(int status, const HeaderList& headers);
   std::optional<AttemptEnd> FindFault() const;
   bool OnData(std::string_view data);
+  void TakeFaultyData(std::string_view data);
   void OnDone(const CallResult& result);
   void EndAttempt(AttemptEnd end);
   void ReleaseServer(std::optional<Outcome> outcome);
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -8,6 +8,9 @@
 
 constexpr long kDataBufferBytes = 64 * 1024;
 
+// Of all heads and trailers of one answer; servers send some hundred bytes.
+constexpr std::size_t kMostHeadBytes = 64 * 1024;
+
 std::string_view TrimLineEnd(std::string_view line) {
   const auto end = line.find_last_not_of("\r\n \t");
   return end == std::string_view::npos ? "" : line.substr(0, end + 1);
@@ -151,6 +154,10 @@
                                std::size_t size,
                                void* self) {
   auto* call = static_cast<HttpCall*>(self);
+  call->head_bytes += size;
+  if (call->head_bytes > kMostHeadBytes) {
+    return 0;
+  }
   const std::string_view line = TrimLineEnd({data, size});
   if (line.starts_with("HTTP/")) {
     call->response_headers.clear();
@@ -185,7 +192,7 @@
     is_taken = call->handlers.on_data({data, size});
   }
   call->is_in_callback = false;
-  if (call->is_cancelled) {
+  if (call->is_cancelled || call->is_refused) {
     return 0;
   }
   call->is_data_paused = !is_taken;
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -77,6 +77,10 @@
   // Ends the call and its connection; no handler runs afterwards.
   void Cancel();
 
+  // Ends the call as broken after the handler that runs now. For an answer that
+  // is of no use and of no known end.
+  void Break() { this->is_refused = true; }
+
   void ResumeBody();
   void ResumeData();
 
@@ -97,8 +101,10 @@
   curl_slist* header_lines = nullptr;
   HeaderList response_headers;
   int response_status = 0;
+  std::size_t head_bytes = 0;
   bool is_head_delivered = false;
   bool is_cancelled = false;
+  bool is_refused = false;
   bool is_in_callback = false;
   bool is_body_paused = false;
   bool is_data_paused = false;
--- a/tests/gateway/answers_test.cc
+++ b/tests/gateway/answers_test.cc
@@ -292,6 +292,67 @@
   }
 }
 
+// Guards against a server that writes without end what is no answer: it must
+// cost neither memory nor the time until the caller's deadline.
+TEST_CASE("bytes without end that are no answer are not read on") {
+  constexpr std::size_t kMostRead = 8 * 1024 * 1024;  // socket buffers included
+  const std::string page(4'096, 'x');
+  const std::string signed_head = "Response-Signature: sig\r\n";
+  const auto failure = [](const std::string& status, const std::string& more) {
+    return
+        [status, more](const RawRequest& request, const std::string& endless) {
+          return RawAnswer{"HTTP/1.1 " + status + "\r\nRequest-Id: " +
+                               RawHeader(request.head, "Request-Id") + "\r\n" +
+                               more + "\r\n",
+                           ConnectionEnd::kKeep, endless};
+        };
+  };
+  const std::map<std::string, ScriptedServer::Script> scripts = {
+      {"no head at all",
+       [&](const RawRequest&) {
+         return RawAnswer{"", ConnectionEnd::kKeep, page};
+       }},
+      {"headers",
+       [&](const RawRequest&) {
+         return RawAnswer{"HTTP/1.1 200 OK\r\n", ConnectionEnd::kKeep,
+                          "X-More: " + page + "\r\n"};
+       }},
+      {"one header",
+       [&](const RawRequest&) {
+         return RawAnswer{"HTTP/1.1 200 OK\r\nX-More: ", ConnectionEnd::kKeep,
+                          page};
+       }},
+      {"interim answers",
+       [](const RawRequest&) {
+         return RawAnswer{"", ConnectionEnd::kKeep,
+                          "HTTP/1.1 102 Processing\r\n\r\n"};
+       }},
+      {"a failure",
+       [&](const RawRequest& request) {
+         return failure("500 Oops", signed_head)(request, page);
+       }},
+      {"a success that is not signed",
+       [&](const RawRequest& request) {
+         return failure("200 OK", "")(request, page);
+       }},
+      {"a refusal", [&](const RawRequest& request) {
+         return failure("503 Full", "Not-Executed: 1\r\n")(request, page);
+       }}};
+  for (const auto& [name, script] : scripts) {
+    for (const char* target : {"/once/1", "/safe/1"}) {
+      INFO(name << " " << target);
+      OneServer fixture(script);
+      const TimePoint sent_at = fixture.loop.Now();
+      const SimpleAnswer answer = fixture.Send("POST", target, {}, "x");
+      CHECK(answer.status == (name == "a refusal" ? 503 : 502));
+      CHECK(fixture.loop.Now() - sent_at < milliseconds(500));
+      CHECK(fixture.server.endless_bytes() < kMostRead);
+      CHECK(fixture.Await(
+          [&] { return fixture.server.open_connections() == 0; }));
+    }
+  }
+}
+
 TEST_CASE("an answer without length ends with its connection") {
   OneServer fixture([](const RawRequest& request) {
     return RawAnswer{WithoutLength(request, "all of it"),
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -101,6 +101,7 @@
   close(this->listener);
   for (auto& [descriptor, connection] : this->open) {
     connection.watcher->Stop();
+    connection.writer.reset();
     close(descriptor);
   }
 }
@@ -177,6 +178,14 @@
     }
     sent += step > 0 ? static_cast<std::size_t>(step) : 0;
   }
+  if (!answer.endless.empty()) {
+    Connection& connection = this->open[descriptor];
+    connection.endless = answer.endless;
+    connection.writer = std::make_unique<IoWatcher>(
+        this->loop, [this, descriptor](int) { this->GoOnWriting(descriptor); });
+    connection.writer->Start(descriptor, EV_WRITE);
+    return false;
+  }
   if (answer.end == ConnectionEnd::kKeep) {
     return true;
   }
@@ -184,6 +193,18 @@
   return false;
 }
 
+void ScriptedServer::GoOnWriting(int descriptor) {
+  this->retired.clear();
+  const std::string& endless = this->open[descriptor].endless;
+  const ssize_t sent =
+      send(descriptor, endless.data(), endless.size(), MSG_NOSIGNAL);
+  if (sent < 0 && errno != EAGAIN) {
+    this->End(descriptor, ConnectionEnd::kClose);
+    return;
+  }
+  this->endless_sent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
 void ScriptedServer::End(int descriptor, ConnectionEnd end) {
   if (end == ConnectionEnd::kReset) {
     const linger at_once = {1, 0};
@@ -193,6 +214,10 @@
   node.mapped().watcher->Stop();
   // The watcher may be the one whose action is running.
   this->retired.push_back(std::move(node.mapped().watcher));
+  if (node.mapped().writer) {
+    node.mapped().writer->Stop();
+    this->retired.push_back(std::move(node.mapped().writer));
+  }
   close(descriptor);
 }
 
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -28,6 +28,8 @@
 struct RawAnswer {
   std::string bytes;
   ConnectionEnd end = ConnectionEnd::kKeep;
+  // Follows again and again, until the caller closes the connection.
+  std::string endless = "";
 };
 
 // A TCP server on loopback that answers each request with the bytes of a
@@ -44,6 +46,8 @@
   const std::string& address() const { return this->own_address; }
   const std::vector<RawRequest>& requests() const { return this->seen; }
   int connections() const { return this->accepted; }
+  // Bytes sent of what follows without end, on all connections.
+  std::size_t endless_bytes() const { return this->endless_sent; }
   int open_connections() const { return static_cast<int>(this->open.size()); }
   void SetScript(Script new_script) { this->script = std::move(new_script); }
   // Answers with the head alone, before the body has come.
@@ -54,12 +58,15 @@
     std::string incoming;
     std::unique_ptr<IoWatcher> watcher;
     bool is_answered_early = false;
+    std::string endless;
+    std::unique_ptr<IoWatcher> writer;
   };
 
   void Accept();
   void Read(int descriptor);
   bool TakeRequest(int descriptor, Connection& connection);
   bool Answer(int descriptor, const RawRequest& request);
+  void GoOnWriting(int descriptor);
   void End(int descriptor, ConnectionEnd end);
 
   EventLoop& loop;
@@ -71,6 +78,7 @@
   std::vector<std::unique_ptr<IoWatcher>> retired;
   std::vector<RawRequest> seen;
   int accepted = 0;
+  std::size_t endless_sent = 0;
   bool is_early = false;
 };
 
