gateway: Let an entry that lapsed count as gone when its grace ends

Cause: an instance that the store had turned away read the list again at 25.48 s. The server vanished at 26.31 s, within the 2.2 s in which an entry may only have lapsed, so it was to be used until 27.68 s.

Ruled out: a late digest (all instances took the change over at 26.47 s), a held loop (no `loop_held`).

Evidence: "a server that vanishes after an outage is used for its grace only" failed before. Why it works: the timer runs until the entry's own end, and again for the next one.

--- a/libraries/gateway/server_list.cc
+++ b/libraries/gateway/server_list.cc
@@ -1,5 +1,6 @@
 #include "gateway/server_list.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "logging/event_log.h"
@@ -108,7 +109,7 @@
     this->on_new_life(change.server);
   }
   if (event == RosterEvent::kLapsed) {
-    this->lapse_timer.StartOnce(kLapseGrace);
+    this->AwaitLapse();
   }
 }
 
@@ -119,6 +120,14 @@
              {{"server", server}, {"change", "lapsed_for_good"}});
   }
   this->GroupByService();
+  this->AwaitLapse();
+}
+
+void ServerList::AwaitLapse() {
+  if (const auto next = NextLapse(this->servers)) {
+    this->lapse_timer.StartOnce(
+        std::max(Duration(0), *next - this->context.Now()));
+  }
 }
 
 void ServerList::GroupByService() {
--- a/libraries/gateway/server_list.h
+++ b/libraries/gateway/server_list.h
@@ -52,6 +52,7 @@
   void OnChanges(std::vector<ServerChange> changes, ChangeSet set);
   void Apply(const ServerChange& change);
   void RemoveLapsedServers();
+  void AwaitLapse();
   void GroupByService();
 
   GatewayContext& context;
--- a/libraries/roster/server_roster.cc
+++ b/libraries/roster/server_roster.cc
@@ -113,6 +113,16 @@
   roster.lapses_until = now + kLapseGrace;
 }
 
+std::optional<TimePoint> NextLapse(const ServerRoster& roster) {
+  std::optional<TimePoint> next;
+  for (const auto& [server, entry] : roster.servers) {
+    if (entry.gone_at && (!next || *entry.gone_at < *next)) {
+      next = entry.gone_at;
+    }
+  }
+  return next;
+}
+
 std::vector<std::string> RemoveLapsed(ServerRoster& roster, TimePoint now) {
   std::vector<std::string> removed;
   for (const auto& [server, entry] : roster.servers) {
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -67,6 +67,9 @@
 // The list can be read again after an outage.
 void NoteListRegained(ServerRoster& roster, TimePoint now);
 
+// When the next entry that vanished counts as gone; nothing if there is none.
+std::optional<TimePoint> NextLapse(const ServerRoster& roster);
+
 // Removes what vanished and has not come back; returns its names.
 std::vector<std::string> RemoveLapsed(ServerRoster& roster, TimePoint now);
 
--- a/tests/gateway/answers_test.cc
+++ b/tests/gateway/answers_test.cc
@@ -467,6 +467,22 @@
   CHECK(fixture.server.requests().size() == 1);
 }
 
+// Guards against a server that is used on after the time in which its entry may
+// have lapsed in an outage.
+TEST_CASE("a server that vanishes after an outage is used for its grace only") {
+  OneServer fixture(Good("hello"));
+  fixture.servers.SetAvailable(false);
+  fixture.RunFor(milliseconds(2'500));
+  fixture.servers.SetAvailable(true);
+  const TimePoint regained_by = fixture.loop.Now() + seconds(1);
+  fixture.RunFor(milliseconds(2'000));
+  fixture.servers.Append({"s-1", std::nullopt});
+  CHECK(fixture.Send("GET", "/safe/1").status == 200);
+  fixture.RunFor(regained_by + kLapseGrace + milliseconds(100) -
+                 fixture.loop.Now());
+  CHECK(fixture.Send("GET", "/safe/1").status == 503);
+}
+
 TEST_CASE("a failure domain that is taken out gets no further work") {
   OneServer fixture(Good("hello"));
   fixture.operators.Append(DomainWithdrawal{"x", true});
--- a/tests/roster/server_roster_test.cc
+++ b/tests/roster/server_roster_test.cc
@@ -58,8 +58,10 @@
   CHECK(ApplyServerChange(roster, gone_change, kStart + milliseconds(100)) ==
         RosterEvent::kLapsed);
   CHECK(MayReceiveWork(roster, roster.servers.at("s1")));
+  CHECK(NextLapse(roster) == kStart + kLapseGrace);
   SECTION("and stays when it is written again") {
     ApplyServerChange(roster, Listed(5, 10), kStart + seconds(1));
+    CHECK_FALSE(NextLapse(roster));
     CHECK(RemoveLapsed(roster, kStart + seconds(9)).empty());
   }
   SECTION("and goes when it is not") {
