coordination: Keep the delay after unsuccessful reads when peers tell of changes

Evidence: "who is turned away asks no more often for being told" failed before (21 reads in 5 s, 8 by the delays). Why it works: the delay is at most 0.9 s, and the read after it asks for all that is missing.

--- a/libraries/coordination/feed_follower.h
+++ b/libraries/coordination/feed_follower.h
@@ -78,9 +78,11 @@
   }
 
   // Reads at once, in place of a read that waits for a change, and on a new
-  // connection: the one that waits may have gone silent.
+  // connection: the one that waits may have gone silent. After unsuccessful
+  // reads the next one comes when its delay is over, and no sooner.
   void ReadNow() {
-    if (this->cancel && !this->is_waiting) {
+    const bool is_reading = this->cancel && !this->is_waiting;
+    if (is_reading || this->failures > 0) {
       return;
     }
     this->CancelCurrent();
--- a/tests/gateway/configuration_desk_test.cc
+++ b/tests/gateway/configuration_desk_test.cc
@@ -50,18 +50,26 @@
     REQUIRE(this->AwaitVersion(1, seconds(5)));
   }
 
-  void Publish(int version) {
+  void Control(const std::string& query, const std::string& body = "") {
     bool is_done = false;
     this->operators.Fetch({.method = "POST",
                            .address = this->store_address,
-                           .target = "/control?put=keyed.op&key=config"},
-                          Version(version),
-                          [&](const SimpleAnswer&) { is_done = true; });
+                           .target = "/control?" + query},
+                          body, [&](const SimpleAnswer&) { is_done = true; });
     REQUIRE(AwaitOn(
         this->loop, [&] { return is_done; }, seconds(5)));
+  }
+
+  void Publish(int version) {
+    this->Control("put=keyed.op&key=config", Version(version));
     ++this->published;
   }
 
+  void RunFor(Duration duration) {
+    AwaitOn(
+        this->loop, [] { return false; }, duration);
+  }
+
   // Reads that run at the same time leave as many kept connections behind.
   void KeepConnections(int count) {
     int done = 0;
@@ -121,13 +129,31 @@
   DeskFixture fixture;
   fixture.KeepConnections(4);
   // Until the read that waits is under way.
-  AwaitOn(
-      fixture.loop, [] { return false; }, milliseconds(100));
+  fixture.RunFor(milliseconds(100));
   fixture.relay->SilenceOpenConnections();
   fixture.desk.SetWatchful(true);
   fixture.Publish(2);
   CHECK(fixture.AwaitVersion(2, kInForce));
 }
 
+// Guards against a flood of calls by instances that the store turns away while
+// their peers tell them of changes.
+TEST_CASE("who is turned away asks no more often for being told") {
+  constexpr int kMostReads = 8;  // 0.15, 0.3, 0.6 and then 0.9 s apart
+  DeskFixture fixture;
+  fixture.RunFor(milliseconds(100));
+  fixture.Control("down=all");
+  fixture.Publish(2);  // ends the read that waits
+  REQUIRE(fixture.AwaitVersion(2, seconds(1)));
+  fixture.Publish(3);
+  const auto reads = [&] { return fixture.model.calls().at("/api/log-read"); };
+  const int before = reads();
+  fixture.HearDigests();
+  fixture.RunFor(seconds(5));
+  CHECK(reads() - before <= kMostReads);
+  fixture.Control("up=all");
+  CHECK(fixture.AwaitVersion(3, kInForce));
+}
+
 }  // namespace
 }  // namespace parsleyquay
