coordination: Give a read more time after one that got no answer

What callers would see: an instance that falls behind for as long as the store is slow.

Evidence: "a store that answers later than usual is read all the same" (answers after 700 ms, a limit of 300 ms) failed before and passes now.

--- a/libraries/coordination/feed_follower.h
+++ b/libraries/coordination/feed_follower.h
@@ -126,10 +126,13 @@
   }
 
   // After an unsuccessful read the next one waits for no change, so that it is
-  // known soon whether the feed answers again.
+  // known soon whether the feed answers again. It is given more time, in case
+  // that the feed is only slow.
   void ReadNext() {
     if (this->failures > 0) {
-      this->Read({.timeout = this->plan.timeout, .needs_new_connection = true});
+      const int factor = std::min(this->failures + 1, kMostTimeoutFactor);
+      this->Read({.timeout = this->plan.timeout * factor,
+                  .needs_new_connection = true});
       return;
     }
     this->Read({.wait = this->plan.wait,
@@ -210,6 +213,7 @@
   }
 
   static constexpr int kMostDoublings = 4;
+  static constexpr int kMostTimeoutFactor = 3;
   // A whole read takes several pages.
   static constexpr int kWholeReadFactor = 3;
 
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -163,6 +163,22 @@
                       milliseconds(500)));
 }
 
+// Guards against reads that are given up again and again just before their
+// answer comes.
+TEST_CASE("a store that answers later than usual is read all the same") {
+  StoreFixture fixture;
+  fixture.Control("put=keyed.servers&key=a", Server(1));
+  Follower follower(fixture);  // gives an answer 300 ms
+  REQUIRE(fixture.Await([&] { return follower.sequences["a"] == 1; }));
+  fixture.Control("slow_ms=700");
+  fixture.Control("put=keyed.servers&key=a", Server(2));
+  REQUIRE(fixture.Await([&] { return follower.sequences["a"] == 2; }));
+  follower.follower.ReadNow();
+  fixture.Control("put=keyed.servers&key=a", Server(3));
+  CHECK(
+      fixture.Await([&] { return follower.sequences["a"] == 3; }, seconds(4)));
+}
+
 // Guards against an instance that comes back late to a storm of changes and
 // works its way through all that have been replaced.
 TEST_CASE("of changes that were missed only the newest of each key is read") {
