tests: Start the store stand-in in one place

store_faults and the new configuration_desk test each had the same code that serves the stand-in and switches its faults. StoreStandIn serves both.

--- a/tests/gateway/configuration_desk_test.cc
+++ b/tests/gateway/configuration_desk_test.cc
@@ -3,17 +3,12 @@
 
 #include "gateway/configuration_desk.h"
 
-#include <sodium.h>
-
 #include <catch2/catch.hpp>
 #include <memory>
 
-#include "http/http_server.h"
 #include "platform/platform_dialect.h"
 #include "platform/platform_port.h"
-#include "store_model.h"
-#include "support/await.h"
-#include "support/scripted_server.h"
+#include "support/store_stand_in.h"
 #include "tcp_relay.h"
 
 namespace parsleyquay {
@@ -27,21 +22,13 @@
 }
 
 // One instance's desk, the store stand-in, and a relay between the two.
-struct DeskFixture {
+struct DeskFixture : StoreStandIn {
   DeskFixture() {
-    REQUIRE(sodium_init() >= 0);
     RunOrReport(
         [&]() -> Result<void> {
           BOOST_LEAF_ASSIGN(
-              this->server,
-              HttpServer::Create(
-                  this->loop, this->store_address,
-                  [this](const std::shared_ptr<ServerExchange>& exchange) {
-                    this->model.Serve(0, exchange);
-                  }));
-          BOOST_LEAF_ASSIGN(this->relay,
-                            TcpRelay::Create(this->loop, this->relay_address,
-                                             this->store_address));
+              this->relay,
+              TcpRelay::Create(this->loop, this->relay_address, this->address));
           return {};
         },
         [](const Error& error) { FAIL(ToString(error)); });
@@ -50,26 +37,11 @@
     REQUIRE(this->AwaitVersion(1, seconds(5)));
   }
 
-  void Control(const std::string& query, const std::string& body = "") {
-    bool is_done = false;
-    this->operators.Fetch({.method = "POST",
-                           .address = this->store_address,
-                           .target = "/control?" + query},
-                          body, [&](const SimpleAnswer&) { is_done = true; });
-    REQUIRE(AwaitOn(
-        this->loop, [&] { return is_done; }, seconds(5)));
-  }
-
   void Publish(int version) {
     this->Control("put=keyed.op&key=config", Version(version));
     ++this->published;
   }
 
-  void RunFor(Duration duration) {
-    AwaitOn(
-        this->loop, [] { return false; }, duration);
-  }
-
   // Reads that run at the same time leave as many kept connections behind.
   void KeepConnections(int count) {
     int done = 0;
@@ -78,27 +50,20 @@
           {.timeout = seconds(5)},
           [&](const FeedRead<MemberChange>&) { ++done; });
     }
-    REQUIRE(AwaitOn(
-        this->loop, [&] { return done == count; }, seconds(5)));
+    REQUIRE(this->Await([&] { return done == count; }));
   }
 
   // Digests of a peer that has read all that was published.
   void HearDigests() { this->digest_timer.StartRepeating(kDigestInterval); }
 
   bool AwaitVersion(std::uint64_t version, Duration patience) {
-    return AwaitOn(
-        this->loop,
+    return this->Await(
         [&] { return this->context.configuration_version() == version; },
         patience);
   }
 
-  EventLoop loop;
-  HttpClient operators{loop};
   HttpClient store_client{loop};
-  std::string store_address = FreeAddress();
   std::string relay_address = FreeAddress();
-  StoreModel model{loop};
-  std::unique_ptr<HttpServer> server;
   std::unique_ptr<TcpRelay> relay;
   std::uint64_t published = 0;
   GatewayContext context{
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -1,59 +1,19 @@
 // The fleet's port to the store, against a stand-in of the store with its
 // faults.
 
-#include <sodium.h>
-
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
 
 #include "coordination/feed_follower.h"
-#include "http/http_server.h"
 #include "platform/platform_port.h"
-#include "store_model.h"
-#include "support/await.h"
-#include "support/scripted_server.h"
+#include "support/store_stand_in.h"
 
 namespace parsleyquay {
 namespace {
 
-struct StoreFixture {
-  StoreFixture() {
-    REQUIRE(sodium_init() >= 0);
-    RunOrReport(
-        [&]() -> Result<void> {
-          BOOST_LEAF_ASSIGN(
-              this->server,
-              HttpServer::Create(
-                  this->loop, this->address,
-                  [this](const std::shared_ptr<ServerExchange>& exchange) {
-                    this->model.Serve(0, exchange);
-                  }));
-          return {};
-        },
-        [](const Error& error) { FAIL(ToString(error)); });
-  }
-
-  void Control(const std::string& query, const std::string& body = "") {
-    bool is_done = false;
-    this->client.Fetch({.method = "POST",
-                        .address = this->address,
-                        .target = "/control?" + query},
-                       body, [&](const SimpleAnswer&) { is_done = true; });
-    REQUIRE(this->Await([&] { return is_done; }));
-  }
-
-  bool Await(const std::function<bool()>& condition,
-             Duration patience = seconds(5)) {
-    return AwaitOn(this->loop, condition, patience);
-  }
-
-  EventLoop loop;
-  HttpClient client{loop};
+struct StoreFixture : StoreStandIn {
   HttpClient store_client{loop};
-  std::string address = FreeAddress();
-  StoreModel model{loop};
-  std::unique_ptr<HttpServer> server;
   CoordinationPort port = platform::MakePlatformPort(
       std::make_shared<platform::StoreClient>(store_client, address),
       12);
--- /dev/null
+++ b/tests/support/store_stand_in.h
@@ -0,0 +1,36 @@
+#ifndef PARSLEYQUAY_TESTS_SUPPORT_STORE_STAND_IN_H_
+#define PARSLEYQUAY_TESTS_SUPPORT_STORE_STAND_IN_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "store_model.h"
+#include "support/scripted_server.h"
+
+namespace parsleyquay {
+
+// The stand-in of the store on an address of loopback, served by this process.
+struct StoreStandIn {
+  StoreStandIn();
+
+  // Switches a fault or writes a record, see StoreModel.
+  void Control(const std::string& query, const std::string& body = "");
+
+  // Serves the loop until the condition holds; returns whether it does.
+  bool Await(const std::function<bool()>& condition,
+             Duration patience = seconds(5));
+  void RunFor(Duration duration);
+
+  EventLoop loop;
+  HttpClient client{loop};
+  std::string address = FreeAddress();
+  StoreModel model{loop};
+  std::unique_ptr<HttpServer> server;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_TESTS_SUPPORT_STORE_STAND_IN_H_
