--- a/libraries/dissemination/member_table.cc
+++ b/libraries/dissemination/member_table.cc
@@ -13,6 +13,10 @@
 // arrive during that time.
 constexpr Duration kSuspicionPeriod = seconds(3);
 
+// How long clients use the address of a member that was lost, at most: until
+// their lists of addresses expire.
+constexpr Duration kAddressUsePeriod = seconds(5);
+
 bool IsMemberOf(const MemberEntry& entry, const std::string& failure_domain) {
   return entry.status.record.failure_domain == failure_domain;
 }
@@ -188,6 +192,29 @@
       [&](const auto& item) { return IsAlive(item.second, now); }));
 }
 
+double ShareOfLiveMembers(const MemberTable& table,
+                          const std::string& failure_domain,
+                          TimePoint now) {
+  const auto in_domain =
+      std::ranges::count_if(table.members, [&](const auto& item) {
+        return IsAlive(item.second, now) &&
+               IsMemberOf(item.second, failure_domain);
+      });
+  return in_domain == 0 ? 1
+                        : static_cast<double>(in_domain) /
+                              static_cast<double>(CountAlive(table, now));
+}
+
+double ShareOfRecentlyLostMembers(const MemberTable& table, TimePoint now) {
+  const auto lost = std::ranges::count_if(table.members, [&](const auto& item) {
+    const MemberEntry& entry = item.second;
+    return !IsAlive(entry, now) && !entry.status.is_leaving &&
+           now - entry.last_heard_at < kMemberTimeout + kAddressUsePeriod;
+  });
+  return static_cast<double>(lost) /
+         static_cast<double>(std::max<std::size_t>(1, table.members.size()));
+}
+
 bool IsAtLeastHalfAlive(const MemberTable& table, TimePoint now) {
   return CountAlive(table, now) * 2 >=
          std::max<std::size_t>(1, table.members.size());
--- a/libraries/dissemination/member_table.h
+++ b/libraries/dissemination/member_table.h
@@ -119,6 +119,16 @@
 
 std::size_t CountAlive(const MemberTable& table, TimePoint now);
 
+// Returns the fraction of the live members that are in the failure domain, or 1
+// if none of them is.
+double ShareOfLiveMembers(const MemberTable& table,
+                          const std::string& failure_domain,
+                          TimePoint now);
+
+// Returns the fraction of the members that were lost without leaving in the
+// last seconds. Clients still use the addresses of such members.
+double ShareOfRecentlyLostMembers(const MemberTable& table, TimePoint now);
+
 // Returns whether at least half of the members are alive.
 bool IsAtLeastHalfAlive(const MemberTable& table, TimePoint now);
 
--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -103,11 +103,14 @@
     return found == rates.end() ? 0
                                 : RateAt(found->second, this->context.Now());
   };
-  const std::size_t domains = FailureDomains(this->context.members).size();
-  return {.served_per_second = rate_of(this->served_rates),
+  const TimePoint now = this->context.Now();
+  const MemberTable& members = this->context.members;
+  return {.attempts_per_second = rate_of(this->attempt_rates),
+          .served_per_second = rate_of(this->served_rates),
           .failed_per_second = rate_of(this->failed_request_rates),
-          .own_domain_share =
-              1 / static_cast<double>(std::max<std::size_t>(1, domains))};
+          .lost_instance_share = ShareOfRecentlyLostMembers(members, now),
+          .own_domain_share = ShareOfLiveMembers(
+              members, this->context.settings.failure_domain, now)};
 }
 
 void LoadBalancer::Release(const ServerReservation& reservation,
@@ -168,9 +171,15 @@
           outcome == ServerOutcome::kOverdue) {
         RecordEvents(state.rate, static_cast<double>(count), now);
       }
+      const std::string& service = listed->second.listing.service;
+      // An overdue request is counted again when it ends.
+      if (outcome != ServerOutcome::kOverdue) {
+        RecordEvents(this->attempt_rates[service], static_cast<double>(count),
+                     now);
+      }
       if (outcome == ServerOutcome::kServed) {
-        RecordEvents(this->served_rates[listed->second.listing.service],
-                     static_cast<double>(count), now);
+        RecordEvents(this->served_rates[service], static_cast<double>(count),
+                     now);
       }
       this->UpdateHealthEstimate(server, outcome, count, summary.newest_at);
     }
--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -139,6 +139,7 @@
   ColdStartLimiter cold_start_limiter;
   std::map<std::string, ServerState> states;               // by server
   std::map<std::string, Duration> expected_service_times;  // by service
+  std::map<std::string, RateMeter> attempt_rates;          // by service
   std::map<std::string, RateMeter> served_rates;           // by service
   std::map<std::string, RateMeter> failed_request_rates;   // by service
 };
--- a/libraries/placement/exploration.h
+++ b/libraries/placement/exploration.h
@@ -10,8 +10,12 @@
 
 // The request rates of one service, summed over all instances.
 struct ServiceTraffic {
+  double attempts_per_second = 0;  // requests sent to a backend server
   double served_per_second = 0;
   double failed_per_second = 0;  // requests that ended without success
+  // Fraction of the instances that have recently stopped responding. Clients
+  // still send them requests, which fail without being counted.
+  double lost_instance_share = 0;
   // Fraction of these requests that instances in this instance's failure domain
   // send.
   double own_domain_share = 1;
--- a/tests/dissemination/dissemination_test.cc
+++ b/tests/dissemination/dissemination_test.cc
@@ -87,6 +87,25 @@
   CHECK(IsAtLeastHalfAlive(table, later));
 }
 
+TEST_CASE("only members lost without leaving count as recently lost") {
+  MemberTable table = MakeMemberTable();
+  const TimePoint later = kStart + kMemberTimeout;
+  CHECK(ShareOfRecentlyLostMembers(table, kStart) == 0);
+  CHECK(ShareOfRecentlyLostMembers(table, later) == 1);
+  for (const char* name : {"a", "b", "c"}) {
+    UpdateMemberStatus(table, Member(name, "x"), Duration(0), later);
+  }
+  CHECK(ShareOfRecentlyLostMembers(table, later) == 0.5);
+  CHECK(ShareOfLiveMembers(table, "x", later) == 1);
+  CHECK(ShareOfLiveMembers(table, "y", later) == 1);
+  MemberStatus leaving = Member("d", "x");
+  leaving.is_leaving = true;
+  UpdateMemberStatus(table, leaving, milliseconds(1), kStart + milliseconds(2));
+  CHECK(ShareOfRecentlyLostMembers(table, later + milliseconds(2)) ==
+        Approx(2. / 6));
+  CHECK(ShareOfRecentlyLostMembers(table, later + seconds(10)) == 0);
+}
+
 TEST_CASE("only a known member can be in another failure domain") {
   const MemberTable table = MakeMemberTable();
   CHECK(IsOfAnotherDomain(table, "f", "x"));
--- a/tests/placement/placement_test.cc
+++ b/tests/placement/placement_test.cc
@@ -109,8 +109,9 @@
 TEST_CASE("a new server is explored soon") {
   PlacementCandidate unused = Server(0.23);
   unused.idle_time = seconds(60);
-  const auto counts = CountExplorations({Server(kHealthy), unused}, {},
-                                        {.served_per_second = 20});
+  const auto counts =
+      CountExplorations({Server(kHealthy), unused}, {},
+                        {.attempts_per_second = 20, .served_per_second = 20});
   CHECK(counts[1] > 100);
   CHECK(counts[0] == 0);
 }
@@ -118,10 +119,13 @@
 TEST_CASE("a suspect server is not explored while few requests fail") {
   PlacementCandidate suspect = Server(kFailing);
   suspect.idle_time = seconds(4);
-  const ServiceTraffic calm{.served_per_second = 50, .failed_per_second = 1};
+  const ServiceTraffic calm{.attempts_per_second = 51,
+                            .served_per_second = 50,
+                            .failed_per_second = 1};
   CHECK(CountExplorations({suspect}, {}, calm)[0] == 0);
   SECTION("but is explored while many fail, for minimum server coverage") {
-    const ServiceTraffic failing{.served_per_second = 40,
+    const ServiceTraffic failing{.attempts_per_second = 46,
+                                 .served_per_second = 40,
                                  .failed_per_second = 6};
     CHECK(CountExplorations({suspect}, {}, failing)[0] > 0);
   }
