http: Require the end of the headers before a response is complete

Cause: libcurl 7.88.1 reports success if a server closes the connection within the response headers and no framing header has arrived yet. HttpCall took that for the end of a response without a length, so that a client got status 200 with an empty body, framed as complete, once the id and the signature had arrived.

Change: a call is complete only once the empty line after the headers of the final response has been received. Otherwise it fails, and an idempotent request is sent to another server. Trailers no longer enter the headers.

--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -12,6 +12,9 @@
 // Servers send a few hundred bytes.
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 
+// Responses with lower status codes are interim ones.
+constexpr int kFirstFinalStatus = 200;
+
 std::string_view TrimLineEnd(std::string_view line) {
   const auto end = line.find_last_not_of("\r\n \t");
   return end == std::string_view::npos ? "" : line.substr(0, end + 1);
@@ -134,7 +137,9 @@
   result.detail = curl_easy_strerror(code);
   long sent_bytes = 0;
   curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-  if (code == CURLE_OK) {
+  if (code == CURLE_OK && !this->has_received_head) {
+    result.detail = "connection closed within the response headers";
+  } else if (code == CURLE_OK) {
     result.outcome = CallOutcome::kComplete;
     this->has_ended = false;
     this->DeliverHead();
@@ -159,7 +164,16 @@
   if (call->header_bytes > kMaxHeaderBytes) {
     return 0;
   }
+  if (call->has_received_head) {
+    return size;  // A trailer of a chunked body is not forwarded.
+  }
   const std::string_view line = TrimLineEnd({data, size});
+  if (line.empty()) {
+    // NOTE: libcurl reports success if the server closes the connection within
+    // the headers, so the end of the headers is detected here.
+    call->has_received_head = call->response_status >= kFirstFinalStatus;
+    return size;
+  }
   if (line.starts_with("HTTP/")) {
     call->response_headers.clear();
     long status = 0;
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -109,6 +109,7 @@
   HeaderList response_headers;
   int response_status = 0;
   std::size_t header_bytes = 0;
+  bool has_received_head = false;  // of the final response
   bool is_head_delivered = false;
   bool has_ended = false;
   bool is_abort_requested = false;
