gateway: Answer every request before a leaving instance exits

Cause: the deadline at 0.85 of the grace period was set only for requests that arrived after SIGTERM. An earlier one with a longer deadline was cut without a response when the process exited at 0.9. A request that arrived late in the grace period was sent to a server although it could not end in time, so that the client got 504, also for a request that must not be repeated.

Change: SIGTERM sets the deadline of the requests in progress too. A request that arrives with less than four times the expected service time left is rejected at once with 503 "leaving", before it takes a token or reaches a server.

--- a/libraries/gateway/error_response.cc
+++ b/libraries/gateway/error_response.cc
@@ -39,6 +39,7 @@
     case ErrorReason::kNotConfigured:
     case ErrorReason::kNoServerAvailable:
     case ErrorReason::kNotExecuted:
+    case ErrorReason::kLeaving:
     case ErrorReason::kTimedOutNotExecuted:
       return kServiceUnavailable;
     case ErrorReason::kTimedOut:
@@ -67,6 +68,8 @@
       return "no_server";
     case ErrorReason::kNotExecuted:
       return "not_run";
+    case ErrorReason::kLeaving:
+      return "leaving";
     case ErrorReason::kTimedOutNotExecuted:
       return "timed_out_unsent";
     case ErrorReason::kTimedOut:
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -24,9 +24,9 @@
 
 // Shares of the grace period between SIGTERM and SIGKILL, all counted from its
 // start. Clients cache the addresses of instances for some seconds, so new
-// connections are accepted until kListenShare. Requests that arrive in this
-// time have a deadline at kRequestShare, and the process exits at kExitShare
-// at the latest.
+// connections are accepted until kListenShare. All requests have a deadline at
+// kRequestShare, so that each gets a response before the process exits at
+// kExitShare at the latest.
 constexpr double kListenShare = 0.6;
 constexpr double kRequestShare = 0.85;
 constexpr double kExitShare = 0.9;
@@ -212,7 +212,8 @@
 
 void Gateway::OnMetricsRequest(ServerExchange& exchange) {
   GatewayMetrics metrics = this->context.metrics;
-  IncrementCounter(metrics, "active_requests", this->context.active_requests);
+  IncrementCounter(metrics, "active_requests",
+                   this->context.active_requests.size());
   IncrementCounter(metrics, "configuration_version",
                    this->context.configuration_version());
   IncrementCounter(metrics, "members_alive",
@@ -273,15 +274,18 @@
   if (this->shutdown_began_at) {
     return;
   }
-  LogEvent(
-      LogLevel::kInfo, "leaving",
-      {{"active_requests", std::to_string(this->context.active_requests)}});
+  LogEvent(LogLevel::kInfo, "leaving",
+           {{"active_requests",
+             std::to_string(this->context.active_requests.size())}});
   this->shutdown_began_at = this->context.Now();
   this->context.is_leaving = true;
   this->context.drain_deadline =
       this->context.Now() +
       ShareOf(this->context.settings.bounds.termination_grace_period,
               kRequestShare);
+  for (ProxiedRequest* request : this->context.active_requests) {
+    request->OnShutdown();
+  }
   this->request_server->DisableKeepAlive();
   this->rate_limiter.StopOwningShards();
   this->dissemination.AnnounceStatus();
@@ -297,12 +301,12 @@
     this->request_server->StopListening();
   }
   const bool is_drained = this->has_stopped_listening &&
-                          this->context.active_requests == 0 &&
+                          this->context.active_requests.empty() &&
                           this->request_server->open_exchanges() == 0;
   if (is_drained || elapsed >= ShareOf(grace, kExitShare)) {
-    LogEvent(
-        LogLevel::kInfo, "stop",
-        {{"active_requests", std::to_string(this->context.active_requests)}});
+    LogEvent(LogLevel::kInfo, "stop",
+             {{"active_requests",
+               std::to_string(this->context.active_requests.size())}});
     FlushEventLog();
     this->context.loop.Stop();
   }
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -2,7 +2,9 @@
 #define PARSLEYQUAY_GATEWAY_GATEWAY_CONTEXT_H_
 
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "coordination/coordination_store.h"
@@ -17,6 +19,8 @@
 
 namespace parsleyquay {
 
+class ProxiedRequest;
+
 // State shared by the components of one instance. Only the configuration
 // watcher modifies `routing`. Only the dissemination agent and its parts modify
 // `members` and `peer_transport`.
@@ -51,10 +55,9 @@
   // Null until the secret that all instances share is known.
   std::unique_ptr<PeerTransport> peer_transport;
   bool is_leaving = false;  // graceful shutdown has begun
-  // Latest deadline of requests that arrive during a graceful shutdown; unset
-  // before.
+  // Latest deadline of requests during a graceful shutdown; unset before.
   std::optional<TimePoint> drain_deadline;
-  std::size_t active_requests = 0;
+  std::set<ProxiedRequest*> active_requests;
 
   TimePoint Now() const { return this->loop.Now(); }
 
--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -14,6 +14,9 @@
 // Weight of a new sample in the exponential moving average.
 constexpr double kServiceTimeWeight = 0.1;
 
+// Few requests take longer than this many times the expected service time.
+constexpr int kLongServiceTimeFactor = 4;
+
 // Time constant of the decay of a reported load. The load halves in about the
 // time of one request.
 constexpr double kLoadDecaySeconds = 0.4;
@@ -196,6 +199,10 @@
                                                      : found->second;
 }
 
+Duration LoadBalancer::LongServiceTime(const std::string& service) const {
+  return this->ExpectedServiceTime(service) * kLongServiceTimeFactor;
+}
+
 LoadBalancer::ServerState& LoadBalancer::StateOf(const std::string& server) {
   const auto found = this->states.find(server);
   if (found != this->states.end()) {
--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -90,6 +90,10 @@
   // service, without queueing.
   Duration ExpectedServiceTime(const std::string& service) const;
 
+  // Returns a time that requests of the service rarely exceed, unless they wait
+  // in a queue or their server has failed.
+  Duration LongServiceTime(const std::string& service) const;
+
  private:
   // What is known about one server.
   struct ServerState {
--- a/libraries/gateway/proxied_request.cc
+++ b/libraries/gateway/proxied_request.cc
@@ -28,6 +28,10 @@
 // The Retry-After delay if the instance cannot tell when a retry will succeed.
 constexpr Duration kDefaultRetryAfter = milliseconds(400);
 
+// A client whose instance is leaving connects to another instance, which can
+// serve the request at once.
+constexpr Duration kLeavingRetryAfter = milliseconds(50);
+
 // Retry-After delays are increased at random by up to this share, so that
 // clients that get errors at the same time do not retry at the same time.
 constexpr double kRetryAfterJitter = 0.5;
@@ -50,11 +54,11 @@
       exchange(std::move(exchange)),
       started_at(dependencies.context.Now()),
       timer(dependencies.context.loop, [this] { this->OnTimer(); }) {
-  ++this->context.active_requests;
+  this->context.active_requests.insert(this);
 }
 
 ProxiedRequest::~ProxiedRequest() {
-  --this->context.active_requests;
+  this->context.active_requests.erase(this);
 }
 
 void ProxiedRequest::Start() {
@@ -138,6 +142,37 @@
   }
 }
 
+void ProxiedRequest::OnShutdown() {
+  const bool has_deadline = this->deadline != TimePoint();
+  if (this->is_closed || !has_deadline) {
+    return;
+  }
+  this->deadline = std::min(this->deadline, *this->context.drain_deadline);
+  this->StartTimer();
+}
+
+// Returns whether a server is likely to respond before the deadline, if a
+// graceful shutdown has set that. A request that cannot end in time is rejected
+// while that is certain not to have any effect.
+bool ProxiedRequest::CanEndBeforeShutdown() const {
+  const bool is_limited_by_shutdown =
+      this->context.drain_deadline &&
+      this->deadline >= *this->context.drain_deadline;
+  return !is_limited_by_shutdown ||
+         this->time_left() >=
+             this->dependencies.load_balancer.LongServiceTime(this->service);
+}
+
+// Rejects the request if it is too late in a graceful shutdown to serve it.
+// Returns whether it was rejected.
+bool ProxiedRequest::RejectIfLeaving() {
+  if (this->may_have_executed || this->CanEndBeforeShutdown()) {
+    return false;
+  }
+  this->RespondWithError({ErrorReason::kLeaving, kLeavingRetryAfter});
+  return true;
+}
+
 // Buffers the body until it is complete or the buffer is full, then continues
 // with the rate limiter. Later calls resume sending the rest of the body.
 void ProxiedRequest::BufferBody() {
@@ -169,6 +204,9 @@
 }
 
 void ProxiedRequest::RequestToken() {
+  if (this->RejectIfLeaving()) {
+    return;
+  }
   if (this->workspace.empty()) {
     this->SendToAnyServer();
     return;
@@ -210,6 +248,9 @@
 }
 
 void ProxiedRequest::SendToAnyServer() {
+  if (this->RejectIfLeaving()) {
+    return;
+  }
   const auto reservation =
       this->dependencies.load_balancer.Acquire(this->MakeSelectionCriteria());
   if (reservation) {
--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -50,6 +50,10 @@
   // exchange with the client has ended.
   void Start();
 
+  // Ends the request in time before the instance exits. Called when a graceful
+  // shutdown begins.
+  void OnShutdown();
+
  private:
   // The attempt at one server.
   struct Attempt {
@@ -73,6 +77,8 @@
   void BufferBody();
   void RequestToken();
   void OnRateLimitDecision(const RateLimitDecision& decision);
+  bool CanEndBeforeShutdown() const;
+  bool RejectIfLeaving();
   ServerSelectionCriteria MakeSelectionCriteria() const;
   void SendToAnyServer();
   void Send(ServerReservation reservation);
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -28,11 +28,6 @@
 // connection the request was not sent, so that another server can be tried.
 constexpr Duration kConnectTimeout = milliseconds(200);
 
-// An attempt without a response counts as a failure of the server if it lasted
-// this many times the expected service time. A shorter one was only ended by
-// the request's own deadline.
-constexpr int kStalledTimeFactor = 4;
-
 // The number of servers that a request may be tried at, including those that
 // could not be reached and therefore did not get the request.
 constexpr std::size_t kMaxTriedServers = 5;
@@ -270,10 +265,9 @@
     AttemptResult attempt_result) const {
   const Duration elapsed =
       this->context.Now() - this->attempt.reservation.acquired_at;
+  // A shorter attempt was only ended by the request's own deadline.
   const bool has_exceeded_service_time =
-      elapsed >
-      this->dependencies.load_balancer.ExpectedServiceTime(this->service) *
-          kStalledTimeFactor;
+      elapsed > this->dependencies.load_balancer.LongServiceTime(this->service);
   switch (attempt_result) {
     case AttemptResult::kResponseReceived:
       return this->attempt.is_overdue ? std::nullopt
--- a/tests/gateway/proxying_test.cc
+++ b/tests/gateway/proxying_test.cc
@@ -534,6 +534,40 @@
   CHECK(fixture.Send("GET", "/safe/1").status == 200);
 }
 
+TEST_CASE("a request in progress gets a response before the instance exits") {
+  OneServer fixture([](const RawRequest&) { return RawResponse{}; });
+  GatewaySettings settings = fixture.settings;
+  settings.bounds.termination_grace_period = seconds(1);
+  fixture.gateway->UpdateSettings(settings);
+  std::optional<int> status;
+  fixture.caller.Fetch(
+      {.method = "POST",
+       .address = settings.request_address,
+       .target = "/once/1",
+       .headers = {{"Host", "a.example"},
+                   {"Request-Id", "r-1"},
+                   {"Authorization", "Bearer shop-key"}}},
+      "x", [&](const BufferedResponse& response) { status = response.status; });
+  REQUIRE(fixture.Await([&] { return !fixture.server.requests().empty(); }));
+  fixture.gateway->BeginShutdown();
+  // The process exits after nine tenths of the grace period.
+  REQUIRE(fixture.Await([&] { return status.has_value(); }, milliseconds(900)));
+  CHECK(status == 504);
+}
+
+TEST_CASE("a request that comes too late in a shutdown is not executed") {
+  OneServer fixture(Good("hello"));
+  GatewaySettings settings = fixture.settings;
+  settings.bounds.termination_grace_period = seconds(1);
+  fixture.gateway->UpdateSettings(settings);
+  fixture.gateway->BeginShutdown();
+  fixture.RunFor(milliseconds(400));
+  const BufferedResponse response = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK(response.status == 503);
+  CHECK_FALSE(HeaderValueOrEmpty(response.headers, "Retry-After").empty());
+  CHECK(fixture.server.requests().empty());
+}
+
 TEST_CASE("an instance that shuts down still serves requests") {
   OneServer fixture(Good("hello"));
   fixture.gateway->BeginShutdown();
--- a/tests/promises/platform_test.cc
+++ b/tests/promises/platform_test.cc
@@ -1,9 +1,12 @@
 // Tests the guarantees to callers and operators with gateways that run as
 // processes and communicate only through the store and by datagrams.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <map>
+#include <optional>
+#include <set>
 
 #include "support/configuration_text.h"
 #include "support/gateway_fixture.h"
@@ -181,6 +184,87 @@
   CHECK(fleet.Log(0).find("event=stop") != std::string::npos);
 }
 
+// Responds after 200 ms, or after 1.2 s if the request's target contains
+// "slow".
+ScriptedServer::Script Slow(std::set<std::string>& executed) {
+  return [&executed](const RawRequest& request) {
+    executed.insert(RawHeader(request.head, "Request-Id"));
+    const bool is_slow = request.head.find("slow") != std::string::npos;
+    return RawResponse{.bytes = SignedOkResponse(request, "done"),
+                       .delay = milliseconds(is_slow ? 1'200 : 200)};
+  };
+}
+
+// Two instances are stopped 500 ms apart, and the signal is repeated, while
+// clients send requests on open connections until the processes have exited.
+TEST_CASE("every request of a whole grace period gets a true response") {
+  constexpr int kConnections = 60;
+  constexpr int kServers = 6;
+  GatewayProcesses fleet(3);
+  REQUIRE(fleet.Start(Configuration(1, R"("shop-key")")));
+  std::set<std::string> executed;
+  for (int i = 0; i < kServers; ++i) {
+    fleet.AddServer("s-" + std::to_string(i), Slow(executed));
+  }
+  REQUIRE(fleet.Await(
+      [&] { return fleet.Send(0, "GET", "/safe/1").status == 200; }));
+  std::map<std::string, std::optional<BufferedResponse>> responses;
+  const auto send = [&](int gateway, int number) {
+    const std::string id = "r-" + std::to_string(responses.size());
+    const std::string target = number % 5 == 0 ? "slow" : "1";
+    const bool is_idempotent = number % 2 == 0;
+    responses[id] = std::nullopt;
+    fleet.SendAsync(
+        gateway, is_idempotent ? "GET" : "POST",
+        (is_idempotent ? "/safe/" : "/once/") + target,
+        [&, id](const BufferedResponse& response) { responses[id] = response; },
+        "shop-key", id, ConnectionUse::kReusable);
+  };
+  const auto have_all_ended = [&] {
+    return std::ranges::all_of(
+        responses, [](const auto& item) { return item.second.has_value(); });
+  };
+  for (int i = 0; i < kConnections; ++i) {
+    send(i % 2, 1);
+  }
+  REQUIRE(fleet.Await(have_all_ended));
+  responses.clear();
+  executed.clear();
+  fleet.process(0).Signal(SIGTERM);
+  for (int i = 0; i < 150; ++i) {
+    send(i % 2, i);
+    fleet.RunFor(milliseconds(30));
+    if (i == 16) {
+      fleet.process(1).Signal(SIGTERM);
+      fleet.process(0).Signal(SIGTERM);
+    }
+  }
+  REQUIRE(fleet.Await(have_all_ended));
+  int served = 0;
+  int rejected = 0;
+  int cut = 0;
+  for (const auto& [id, response] : responses) {
+    const bool is_complete = response->result.outcome == CallOutcome::kComplete;
+    const bool is_executed = executed.contains(id);
+    INFO(id << " status " << response->status << " " << response->result.detail
+            << " executed " << is_executed);
+    CHECK((is_complete || !is_executed));
+    if (is_complete && response->status == 503) {
+      CHECK_FALSE(is_executed);
+    }
+    served += is_complete && response->status == 200 ? 1 : 0;
+    rejected += is_complete && response->status == 503 ? 1 : 0;
+    cut += is_complete && response->status == 504 ? 1 : 0;
+  }
+  INFO("served " << served << ", rejected " << rejected << ", cut " << cut);
+  CHECK(served > 40);
+  // Only a slow request can outlast the instance once it has been accepted.
+  CHECK(cut <= 10);
+  CHECK(fleet.Await([&] {
+    return fleet.process(0).HasEnded() && fleet.process(1).HasEnded();
+  }));
+}
+
 TEST_CASE("an aggregator that shuts down is replaced at once") {
   GatewayProcesses fleet(3);
   REQUIRE(fleet.Start(Configuration(1, R"("shop-key")")));
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -103,6 +103,7 @@
   for (auto& [descriptor, connection] : this->open) {
     connection.watcher->Stop();
     connection.writer.reset();
+    connection.delayed_response.reset();
     close(descriptor);
   }
 }
@@ -122,6 +123,7 @@
 
 void ScriptedServer::Read(int descriptor) {
   this->stopped_watchers.clear();
+  this->stopped_timers.clear();
   std::array<char, 65536> buffer;
   const ssize_t size = recv(descriptor, buffer.data(), buffer.size(), 0);
   if (size <= 0) {
@@ -170,6 +172,19 @@
 bool ScriptedServer::Respond(int descriptor, const RawRequest& request) {
   this->received_requests.push_back(request);
   const RawResponse response = this->script(request);
+  if (response.delay <= Duration(0)) {
+    return this->SendResponse(descriptor, response);
+  }
+  Connection& connection = this->open[descriptor];
+  connection.delayed_response =
+      std::make_unique<Timer>(this->loop, [this, descriptor, response] {
+        this->SendResponse(descriptor, response);
+      });
+  connection.delayed_response->StartOnce(response.delay);
+  return false;
+}
+
+bool ScriptedServer::SendResponse(int descriptor, const RawResponse& response) {
   std::size_t sent = 0;
   while (sent < response.bytes.size()) {
     const ssize_t step = send(descriptor, response.bytes.data() + sent,
@@ -215,6 +230,10 @@
   }
   auto node = this->open.extract(descriptor);
   node.mapped().watcher->Stop();
+  if (node.mapped().delayed_response) {
+    node.mapped().delayed_response->Stop();
+    this->stopped_timers.push_back(std::move(node.mapped().delayed_response));
+  }
   // The watcher may be the one whose callback is running, so it is destroyed
   // later.
   this->stopped_watchers.push_back(std::move(node.mapped().watcher));
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -9,6 +9,7 @@
 
 #include "event/event_loop.h"
 #include "event/io_watcher.h"
+#include "event/timer.h"
 
 namespace parsleyquay {
 
@@ -30,6 +31,8 @@
   ConnectionAction connection_action = ConnectionAction::kKeep;
   // Sent repeatedly after `bytes` until the client closes the connection.
   std::string endless_body = "";
+  // Time from the request to the response.
+  Duration delay = Duration(0);
 };
 
 // A TCP server on loopback that responds to each request with the bytes that a
@@ -64,12 +67,14 @@
     bool has_early_response = false;
     std::string endless;
     std::unique_ptr<IoWatcher> writer;
+    std::unique_ptr<Timer> delayed_response;
   };
 
   void Accept();
   void Read(int descriptor);
   bool HandleNextRequest(int descriptor, Connection& connection);
   bool Respond(int descriptor, const RawRequest& request);
+  bool SendResponse(int descriptor, const RawResponse& response);
   void ContinueEndlessBody(int descriptor);
   void End(int descriptor, ConnectionAction action);
 
@@ -80,6 +85,7 @@
   IoWatcher watcher;
   std::map<int, Connection> open;
   std::vector<std::unique_ptr<IoWatcher>> stopped_watchers;
+  std::vector<std::unique_ptr<Timer>> stopped_timers;
   std::vector<RawRequest> received_requests;
   int accepted = 0;
   std::size_t endless_sent = 0;
