platform: Decode uploads as requests with large bodies

Cause: the kind "upload" was unknown, so that its bodies of about 60 KB went to servers of other failure domains as readily as a lookup.

Change: an upload is not idempotent and is placed like a download, in the own failure domain while a server there is likely to serve it.

--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -37,7 +37,7 @@
 struct ServerSelectionCriteria {
   std::string service;
   bool is_retryable = false;  // may be sent to another server after a failure
-  bool is_bulk = false;       // has a large response
+  bool is_bulk = false;       // has a large request or response body
   Duration time_left = Duration(0);     // until its deadline
   std::set<std::string> tried_servers;  // servers of earlier attempts
 
--- a/libraries/placement/exploration.cc
+++ b/libraries/placement/exploration.cc
@@ -84,7 +84,7 @@
 
 bool IsDue(const PlacementCandidate& candidate,
            const PlacementRequest& request) {
-  // Transferring a large response from another failure domain costs too much
+  // Transferring a large body to or from another failure domain costs too much
   // for exploration.
   const bool is_affordable = candidate.is_in_own_domain || !request.is_bulk;
   return is_affordable && IsExplorable(candidate, request) &&
--- a/libraries/placement/placement.cc
+++ b/libraries/placement/placement.cc
@@ -21,7 +21,7 @@
 constexpr double kColdFactor = 2;
 
 // Penalties for a server in another failure domain. Traffic between failure
-// domains is expensive, so large responses are fetched from another domain only
+// domains is expensive, so large bodies are sent to or from another domain only
 // if the servers of the own domain are much worse.
 constexpr double kCrossDomainMilliseconds = 60;
 constexpr double kCrossDomainBulkMilliseconds = 1'500;
--- a/libraries/placement/placement.h
+++ b/libraries/placement/placement.h
@@ -34,7 +34,7 @@
 struct PlacementRequest {
   bool is_retryable =
       false;             // a failed attempt can be retried on another server
-  bool is_bulk = false;  // the response body is large
+  bool is_bulk = false;  // the request or response body is large
   // Mean time in which a server of the service processes a request, without
   // queueing.
   Duration expected_service_time = milliseconds(200);
--- a/libraries/routing/fleet_configuration.h
+++ b/libraries/routing/fleet_configuration.h
@@ -26,7 +26,7 @@
   std::string path_prefix;  // begins and ends with a slash
   std::vector<WeightedService> services;
   bool is_idempotent = false;
-  bool is_bulk = false;    // responses are large
+  bool is_bulk = false;    // request or response bodies are large
   bool is_public = false;  // served without an API key
   Duration timeout = Duration(0);
   Duration latency_target = Duration(0);
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -19,6 +19,8 @@
    "host":"a.example","path_prefix":"/y/","kind":"download","service":"s1"}},
  {"resource_kind":"routes","metadata":{"name":"r3"},"spec":{
    "host":"a.example","path_prefix":"/z/","kind":"novel","service":"s1"}},
+ {"resource_kind":"routes","metadata":{"name":"r4"},"spec":{
+   "host":"a.example","path_prefix":"/u/","kind":"upload","service":"s1"}},
  {"resource_kind":"services","metadata":{"name":"s1"},"spec":{
    "health_path":"/health","max_conns":330,"cold_start":"3s","cold_per_s":7.3}},
  {"resource_kind":"tenants","metadata":{"name":"w1"},"spec":{
@@ -49,7 +51,7 @@
   const FleetConfiguration decoded =
       DecodeConfiguration(kConfiguration).value();
   CHECK(decoded.version == 7);
-  REQUIRE(decoded.routes.size() == 3);
+  REQUIRE(decoded.routes.size() == 4);
   const HostRoute& route = decoded.routes[0];
   CHECK(route.is_idempotent);
   CHECK(route.is_public);
@@ -61,6 +63,8 @@
   CHECK(decoded.routes[1].is_bulk);
   CHECK(decoded.routes[1].is_idempotent);
   CHECK_FALSE(decoded.routes[2].is_idempotent);
+  CHECK(decoded.routes[3].is_bulk);
+  CHECK_FALSE(decoded.routes[3].is_idempotent);
   CHECK(decoded.services.at("s1").cold_requests_per_second == Approx(7.3));
   const WorkspaceConfiguration& workspace = decoded.workspaces.at("w1");
   CHECK(workspace.key_digests ==
