coordination: Spend fewer store calls on joining the fleet

It read the members' topic twice at the same time, once for the secret; at a first start each instance tried to write a secret and was rejected; each left a shard group that it had never joined.

The secret was also looked for on the first page of 500 records only. It comes after the members' records, so that a fleet of 500 instances or more could not have joined. All pages are read now.

--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -95,7 +95,8 @@
   }
   // Shards assigned to an earlier incarnation of this process would have no
   // owner until that assignment expires.
-  if (!conditions.is_candidate && !this->has_resolved_previous_lease) {
+  if (!conditions.is_candidate && !this->has_resolved_previous_lease &&
+      this->context.has_previous_incarnation) {
     this->has_resolved_previous_lease = true;
     this->context.coordination.shard_group.leave(this->context.settings.name,
                                                  [] {});
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -162,6 +162,44 @@
   CHECK(read->changes[1] == ServerChange{"b", std::nullopt});
 }
 
+TEST_CASE("the secret is found behind the records of a large fleet") {
+  constexpr int kMembers = 850;
+  StoreFixture fixture;
+  for (int i = 0; i < kMembers; ++i) {
+    fixture.Control("put=keyed.parsleyquay&key=member/" + std::to_string(i),
+                    "{}");
+  }
+  fixture.Control("put=keyed.parsleyquay&key=secret", "shared");
+  std::optional<std::string> secret;
+  fixture.coordination.get_or_create_secret(
+      "proposal",
+      [&](const std::optional<std::string>& found) { secret = found; });
+  REQUIRE(fixture.Await([&] { return secret.has_value(); }));
+  CHECK(*secret == "shared");
+}
+
+TEST_CASE("concurrent reads of the same records share one call") {
+  StoreFixture fixture;
+  int done = 0;
+  const auto read = [&] {
+    return fixture.coordination.members.read_all(
+        {.timeout = seconds(1)},
+        [&](const FeedReadResult<MemberChange>& result) {
+          CHECK(result.status == FeedReadStatus::kRead);
+          ++done;
+        });
+  };
+  read();
+  const CancelFeedRead cancel = read();
+  read();
+  cancel();
+  REQUIRE(fixture.Await([&] { return done == 2; }));
+  CHECK(fixture.model.calls().at("/api/log-newest") == 1);
+  read();
+  REQUIRE(fixture.Await([&] { return done == 3; }));
+  CHECK(fixture.model.calls().at("/api/log-newest") == 2);
+}
+
 TEST_CASE("instances that start concurrently agree on one secret") {
   StoreFixture fixture;
   std::map<int, std::string> secrets;
