gateway: Notice silent store connections within the bounds

Cause, shown by a new test of processes behind a relay that stalls open connections for good: if the connection of an aggregator's read went silent right after a change, the change was read after up to 1.9 s, reached the others another 0.4 s later, and a draining server was known after 1.96 s. Both must take two seconds.

Change: an aggregator's long poll waits 0.8 s in place of 1.5 s, and its read of the server list times out after 0.4 s in place of 0.7 s. A read that is given up because peers are ahead is logged (feed_read_abandoned).

--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -90,6 +90,12 @@
     if (is_reading_without_wait || this->failures > 0) {
       return;
     }
+    if (this->cancel_current_read) {
+      const Duration waited = this->loop.Now() - this->current_read_sent_at;
+      LogEvent(LogLevel::kInfo, "feed_read_abandoned",
+               {{"feed", this->name},
+                {"waited_ms", std::to_string(ToMilliseconds(waited))}});
+    }
     this->CancelCurrent();
     this->Read(
         {.timeout = this->schedule.timeout, .needs_new_connection = true});
@@ -157,6 +163,7 @@
       return;
     }
     const TimePoint sent_at = this->loop.Now();
+    this->current_read_sent_at = sent_at;
     auto on_read = [this, sent_at](FeedReadResult<Change> read) {
       this->cancel_current_read = nullptr;
       this->OnRead(std::move(read), sent_at);
@@ -237,6 +244,7 @@
   EventLoop& loop;
   Timer timer;
   CancelFeedRead cancel_current_read;
+  TimePoint current_read_sent_at;
   bool is_waiting = false;  // whether the current read waits for a change
   std::optional<std::uint64_t> next_position;
   std::optional<TimePoint> newest_read_sent_at;
--- a/libraries/gateway/configuration_watcher.cc
+++ b/libraries/gateway/configuration_watcher.cc
@@ -11,8 +11,9 @@
 
 // A change must take effect within two seconds. Instances that read on behalf
 // of others wait no longer than this on a connection that may have silently
-// stopped delivering data.
-constexpr FeedReadSchedule kFrequentSchedule = {.wait = milliseconds(1'500),
+// stopped delivering data. `wait` and `timeout` leave 800 ms for the retry, the
+// digest that announces the change, and the reads of the other instances.
+constexpr FeedReadSchedule kFrequentSchedule = {.wait = milliseconds(800),
                                                 .interval = milliseconds(20),
                                                 .timeout = milliseconds(400)};
 
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -11,9 +11,10 @@
 
 // A server that drains must get no new requests after two seconds. 700 ms until
 // the change is read and 250 ms until the next digest leave time for one lost
-// datagram.
+// datagram, or for a read on a connection that has silently stopped delivering
+// data and the retry 150 ms after its timeout.
 constexpr FeedReadSchedule kStoreSchedule = {.interval = milliseconds(700),
-                                             .timeout = milliseconds(700)};
+                                             .timeout = milliseconds(400)};
 
 // Reads in case that the digests are incomplete; rare, since every read is a
 // load on the store.
--- a/tests/support/gateway_processes.cc
+++ b/tests/support/gateway_processes.cc
@@ -24,10 +24,11 @@
 
 }  // namespace
 
-GatewayProcesses::GatewayProcesses(int count)
+GatewayProcesses::GatewayProcesses(int count, bool relays_store)
     : work_directory(std::filesystem::temp_directory_path() /
                      ("parsleyquay-gateways-" + std::to_string(getpid()) + "-" +
-                      std::to_string(reinterpret_cast<std::uintptr_t>(this)))) {
+                      std::to_string(reinterpret_cast<std::uintptr_t>(this)))),
+      relays_store(relays_store) {
   std::filesystem::create_directories(this->work_directory);
   for (int i = 0; i < count; ++i) {
     this->store_addresses.push_back(FreeAddress());
@@ -59,7 +60,7 @@
        << "\nreadiness = " << gateway.readiness_address
        << "\ndirectory = " << gateway.directory_address
        << "\npeers = " << FreeAddress() << "\nmetrics = " << FreeAddress()
-       << "\n[store]\naddress = " << this->store_addresses[index]
+       << "\n[store]\naddress = " << this->StoreAddress(gateway, index)
        << "\nduty_count = 12\nshortest_lease = 1000ms\n"
           "[bounds]\ngrace = 4s\naddress_lifetime = 5s\nretry_ratio = 0.2\n"
           "retry_slack = 50\nretry_window = 10s\nallowance_window = 5s\n"
@@ -67,6 +68,24 @@
           "cold_overshoot = 1.5\ncold_slack = 5\n";
 }
 
+std::string GatewayProcesses::StoreAddress(GatewayProcess& gateway,
+                                           std::size_t index) {
+  const std::string& store_address = this->store_addresses[index];
+  if (!this->relays_store) {
+    return store_address;
+  }
+  std::string relay_address = FreeAddress();
+  RunOrReport(
+      [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(
+            gateway.store_relay,
+            TcpRelay::Create(this->loop, relay_address, store_address));
+        return {};
+      },
+      [](const Error& error) { throw std::runtime_error(ToString(error)); });
+  return relay_address;
+}
+
 bool GatewayProcesses::Start(const std::string& configuration) {
   std::string listen;
   for (const std::string& address : this->store_addresses) {
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -11,6 +11,7 @@
 #include "experiment/child_process.h"
 #include "http/http_client.h"
 #include "support/scripted_server.h"
+#include "tcp_relay.h"
 
 namespace parsleyquay {
 
@@ -18,7 +19,8 @@
 // backend servers in this process. The destructor ends all of them.
 class GatewayProcesses {
  public:
-  explicit GatewayProcesses(int count);
+  // With `relays_store`, each gateway reaches the store through a TcpRelay.
+  explicit GatewayProcesses(int count, bool relays_store = false);
   ~GatewayProcesses();
 
   // Starts the store, publishes the configuration and starts all gateways.
@@ -36,6 +38,11 @@
            const std::string& key,
            const std::string& value);
   void Drop(const std::string& topic, const std::string& key);
+  // Stalls a random share of the gateway's open connections to the store.
+  void StallStoreConnections(int gateway, double share, std::uint64_t seed) {
+    this->gateways[static_cast<std::size_t>(gateway)]
+        .store_relay->StallOpenConnections(share, seed);
+  }
   // Changes the faults of the store, see StoreModel.
   void SetStoreFault(const std::string& query);
 
@@ -79,6 +86,7 @@
     std::string readiness_address;
     std::string directory_address;
     std::string settings_file;
+    std::unique_ptr<TcpRelay> store_relay;
     std::unique_ptr<ChildProcess> process;
   };
 
@@ -90,7 +98,10 @@
                           const std::string& key,
                           const std::string& id) const;
 
+  std::string StoreAddress(GatewayProcess& gateway, std::size_t index);
+
   std::filesystem::path work_directory;
+  bool relays_store = false;
   std::vector<std::string> store_addresses;
   std::unique_ptr<ChildProcess> store;
   std::vector<GatewayProcess> gateways;
--- a/utilities/standins/tcp_relay.cc
+++ b/utilities/standins/tcp_relay.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <random>
 #include <utility>
 
 #include "base/socket_address.h"
@@ -123,9 +124,13 @@
   }
 }
 
-void TcpRelay::StallOpenConnections() {
+void TcpRelay::StallOpenConnections(double share, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::bernoulli_distribution is_chosen(share);
   for (const auto& connection : this->connections) {
-    connection->Stall();
+    if (is_chosen(random)) {
+      connection->Stall();
+    }
   }
 }
 
--- a/utilities/standins/tcp_relay.h
+++ b/utilities/standins/tcp_relay.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_UTILITIES_STANDINS_TCP_RELAY_H_
 #define PARSLEYQUAY_UTILITIES_STANDINS_TCP_RELAY_H_
 
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <string>
@@ -27,9 +28,9 @@
   void Cut();
   void Heal() { this->is_cut = false; }
 
-  // Stops forwarding data on the connections that are open now, without closing
-  // them. Later connections are not affected.
-  void StallOpenConnections();
+  // Stops forwarding data on a random share of the connections that are open
+  // now, without closing them. Later connections are not affected.
+  void StallOpenConnections(double share = 1, std::uint64_t seed = 0);
 
   // Number of connections accepted so far, including those that Cut() closes.
   int accepted_connections() const { return this->accept_count; }
