placement: Leave refused requests out of the full coverage

Change: full coverage begins when more than 8 % of the attempts fail, which leaves out the requests that the rate limiter rejects. All of them still count for the limited coverage, by which at most three in ten servers stay idle.

--- a/libraries/placement/exploration.cc
+++ b/libraries/placement/exploration.cc
@@ -13,11 +13,12 @@
 // The fleet guarantees a minimum server coverage: while more than a tenth of a
 // service's requests fail, seven in ten of its healthy servers receive requests
 // in any two seconds. This instance cannot tell which servers are healthy, so
-// it explores all that may be used. The thresholds are lower than a tenth, so
-// that exploration begins before the guarantee applies: above the first one at
-// most three in ten servers may stay idle, above the second one none.
+// it explores all that may be used. If more than the first share of the
+// requests fail, at most three in ten servers may stay idle, so that the
+// guarantee is met when it begins to apply. If more than the second share of
+// the attempts fail, many servers are faulty, and none may stay idle.
 constexpr double kLimitedCoverageFailureShare = 0.04;
-constexpr double kFullCoverageFailureShare = 0.07;
+constexpr double kFullCoverageFailureShare = 0.08;
 constexpr double kMaxIdleShare = 0.3;
 constexpr Duration kIdleTimeOfUnusedServer = milliseconds(1'300);
 
@@ -55,12 +56,25 @@
 // However many servers are due, the other requests are placed normally.
 constexpr double kMaxExplorationShare = 0.6;
 
-// Returns the fraction of the service's requests that fail, including the
-// estimated ones of clients whose instance does not respond.
-double FailureShare(const ServiceTraffic& traffic) {
-  const double total = traffic.served_per_second + traffic.failed_per_second;
-  const double counted = total > 0 ? traffic.failed_per_second / total : 0;
-  return 1 - (1 - counted) * (1 - traffic.lost_instance_share);
+// Returns the fraction that is not served of `per_second` requests, including
+// the estimated ones of clients whose instance does not respond.
+double UnservedShare(double per_second, const ServiceTraffic& traffic) {
+  const double served_share =
+      per_second > 0 ? std::min(1., traffic.served_per_second / per_second) : 1;
+  return 1 - served_share * (1 - traffic.lost_instance_share);
+}
+
+// Returns the fraction of the service's requests that fail for any reason.
+double RequestFailureShare(const ServiceTraffic& traffic) {
+  return UnservedShare(traffic.served_per_second + traffic.failed_per_second,
+                       traffic);
+}
+
+// Returns the fraction of the attempts that fail. It leaves out requests that
+// the rate limiter rejects, and includes failures after which a request was
+// sent to another server.
+double AttemptFailureShare(const ServiceTraffic& traffic) {
+  return UnservedShare(traffic.attempts_per_second, traffic);
 }
 
 bool IsSuspect(const PlacementCandidate& candidate) {
@@ -215,10 +229,11 @@
     const PlacementRequest& request,
     const ServiceTraffic& traffic,
     std::uint64_t random) {
-  const double failure_share = FailureShare(traffic);
-  const bool needs_full_coverage = failure_share > kFullCoverageFailureShare;
+  const bool needs_full_coverage =
+      AttemptFailureShare(traffic) > kFullCoverageFailureShare;
   const bool needs_limited_coverage =
-      failure_share > kLimitedCoverageFailureShare && !request.is_retryable;
+      RequestFailureShare(traffic) > kLimitedCoverageFailureShare &&
+      !request.is_retryable;
   std::optional<std::vector<PlacementCandidate>> explored;
   if (needs_full_coverage) {
     explored =
