coordination: Propose the secret at once again

The random delay before a secret is proposed made the instances know each other at different times: one missed the digest that carried a new server, its store was away, and the next digests begin after the gap, so that it never learned of the server.

The gap itself remains: an instance that misses a digest while the store turns it away asks no peer for the missing servers.

--- a/libraries/coordination/coordination_store.h
+++ b/libraries/coordination/coordination_store.h
@@ -88,10 +88,10 @@
       publish_member;
 
   // Reads the secret that all instances share. If there is none, stores
-  // `proposal` as the secret. Passes std::nullopt if there is neither a secret
-  // nor a proposal, the store is unavailable or another instance writes at the
-  // same time; the instance then has to try again.
-  std::function<void(const std::optional<std::string>& proposal,
+  // `proposal` as the secret. Passes std::nullopt if the store is unavailable
+  // or another instance writes at the same time; the instance then has to try
+  // again.
+  std::function<void(const std::string& proposal,
                      std::function<void(std::optional<std::string>)>)>
       get_or_create_secret;
 };
--- a/libraries/gateway/fleet_registration.cc
+++ b/libraries/gateway/fleet_registration.cc
@@ -1,6 +1,5 @@
 #include "gateway/fleet_registration.h"
 
-#include <random>
 #include <utility>
 
 #include "base/random_id.h"
@@ -10,8 +9,7 @@
 
 namespace {
 
-// The delay until the next try is random up to this.
-constexpr Duration kMaxRetryDelay = milliseconds(700);
+constexpr Duration kRetryDelay = milliseconds(700);
 constexpr std::size_t kSecretBytes = 32;
 
 }  // namespace
@@ -48,18 +46,11 @@
       [on_done = std::move(on_done)](PublishOutcome) { on_done(); });
 }
 
-// If all instances start at the same time, none finds a secret at first. The
-// random delay until they propose one lets one instance create it and the
-// others find it, in place of one write by each.
 void FleetRegistration::GetOrCreateSecret() {
-  const std::optional<std::string> proposal =
-      this->has_looked_for_secret ? std::optional(RandomHex(kSecretBytes))
-                                  : std::nullopt;
-  this->has_looked_for_secret = true;
   this->context.coordination.get_or_create_secret(
-      proposal, [this](std::optional<std::string> secret) {
+      RandomHex(kSecretBytes), [this](std::optional<std::string> secret) {
         if (!secret) {
-          this->ScheduleRetry();
+          this->retry_timer.StartOnce(kRetryDelay);
           return;
         }
         this->Open(*secret);
@@ -90,15 +81,9 @@
       {this->context.settings.name, MakeOwnMemberRecord(this->context)},
       [this](PublishOutcome outcome) {
         if (outcome != PublishOutcome::kDone && !this->context.is_leaving) {
-          this->ScheduleRetry();
+          this->retry_timer.StartOnce(kRetryDelay);
         }
       });
 }
 
-void FleetRegistration::ScheduleRetry() {
-  std::uniform_real_distribution<double> share(0, 1);
-  this->retry_timer.StartOnce(std::chrono::duration_cast<Duration>(
-      kMaxRetryDelay * share(this->context.random)));
-}
-
 }  // namespace parsleyquay
--- a/libraries/gateway/fleet_registration.h
+++ b/libraries/gateway/fleet_registration.h
@@ -42,12 +42,10 @@
   void GetOrCreateSecret();
   void Open(const std::string& secret);
   void PublishRecord();
-  void ScheduleRetry();
 
   GatewayContext& context;
   std::vector<std::string> methods;
   Handlers handlers;
-  bool has_looked_for_secret = false;
   Timer retry_timer;
 };
 
