placement: Explore no other failure domain with large bodies

Cause: coverage explored nearly overdue servers of other failure domains with downloads and uploads too.

Change: large bodies explore servers of the own failure domain only, as before the coverage change, with a test.

--- a/libraries/placement/exploration.cc
+++ b/libraries/placement/exploration.cc
@@ -85,7 +85,11 @@
 // has been idle.
 bool IsExplorable(const PlacementCandidate& candidate,
                   const PlacementRequest& request) {
-  return candidate.is_permitted && CanMeetDeadline(candidate, request);
+  // Transferring a large body to or from another failure domain costs too much
+  // for exploration.
+  const bool is_affordable = candidate.is_in_own_domain || !request.is_bulk;
+  return is_affordable && candidate.is_permitted &&
+         CanMeetDeadline(candidate, request);
 }
 
 Duration IdleTimeUntilDue(const PlacementCandidate& candidate,
@@ -98,10 +102,7 @@
 
 bool IsDue(const PlacementCandidate& candidate,
            const PlacementRequest& request) {
-  // Transferring a large body to or from another failure domain costs too much
-  // for exploration.
-  const bool is_affordable = candidate.is_in_own_domain || !request.is_bulk;
-  return is_affordable && IsExplorable(candidate, request) &&
+  return IsExplorable(candidate, request) &&
          candidate.idle_time > IdleTimeUntilDue(candidate, request);
 }
 
--- a/tests/placement/placement_test.cc
+++ b/tests/placement/placement_test.cc
@@ -134,6 +134,17 @@
   }
 }
 
+TEST_CASE("large bodies explore no server of another failure domain") {
+  PlacementCandidate remote = Server(0.23);
+  remote.is_in_own_domain = false;
+  remote.idle_time = seconds(60);
+  const ServiceTraffic failing{.attempts_per_second = 46,
+                               .served_per_second = 40,
+                               .failed_per_second = 6};
+  CHECK(CountExplorations({remote}, {.is_bulk = true}, failing)[0] == 0);
+  CHECK(CountExplorations({remote}, {}, failing)[0] > 0);
+}
+
 TEST_CASE("all instances together keep the limit of a cold server") {
   const ColdStartLimit limit{
       .requests_per_second = 7.3, .overshoot = 1.5, .slack = 5};
