Review: targets of the scripts answer liveness checks

A sound target answers GET on the health path with its Instance-Id, and such a check is no request of a requester.

--- a/review/wire.cc
+++ b/review/wire.cc
@@ -224,6 +224,17 @@
   return connection->ReadMessage();
 }
 
+bool AnswerLivenessCheck(Connection& connection,
+                         const Message& request,
+                         const std::string& target_id) {
+  if (!request.first_line.starts_with("GET /health ")) {
+    return false;
+  }
+  connection.Send("HTTP/1.1 200 OK\r\nInstance-Id: " + target_id +
+                  "\r\nServer-Load: 0,0,3\r\nContent-Length: 0\r\n\r\n");
+  return true;
+}
+
 TcpServer::TcpServer(Handler handler, bool has_small_window)
     : handler(std::move(handler)), listener(BindToLoopback()) {
   if (has_small_window) {
--- a/review/wire.h
+++ b/review/wire.h
@@ -77,6 +77,12 @@
               const std::string& request,
               milliseconds timeout = milliseconds(8'000));
 
+// Answers a liveness check as a sound target does. Returns false, and does
+// nothing, if `request` is another request.
+bool AnswerLivenessCheck(Connection& connection,
+                         const Message& request,
+                         const std::string& target_id);
+
 // A TCP server on loopback with one thread a connection.
 class TcpServer {
  public:
