Review, case 5: targets tell their true load

Claimed: as before, instances miss that a target has left. Its targets told a load of one request, however many they ran.

--- a/review/5/missed_removal.cc
+++ b/review/5/missed_removal.cc
@@ -3,6 +3,7 @@
 // sending to that target in time.
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <map>
@@ -54,8 +55,15 @@
 struct Arrivals {
   std::mutex mutex;
   std::vector<Arrival> list;
+  std::array<int, kTargets> running = {};  // requests at each target
 };
 
+// Changes the number of requests that a target runs, and returns it.
+int AddRunning(Arrivals& arrivals, int target, int change) {
+  const std::scoped_lock lock(arrivals.mutex);
+  return arrivals.running.at(static_cast<std::size_t>(target)) += change;
+}
+
 void Serve(Connection& connection,
            int target,
            review::Record& record,
@@ -65,18 +73,26 @@
     if (!request.is_complete) {
       return;
     }
+    const std::string name = "i-" + std::to_string(target);
+    if (review::AnswerLivenessCheck(connection, request, name)) {
+      continue;
+    }
     const std::string id = request.Header("request-id");
     {
       const std::scoped_lock lock(arrivals.mutex);
       arrivals.list.push_back({target, InstanceOf(id), Clock::now()});
     }
-    record.Write("i-" + std::to_string(target) + " runs " + id);
-    if (connection.WaitForClose(kWorkTime)) {
+    record.Write(name + " runs " + id);
+    const int running = AddRunning(arrivals, target, 1);
+    const bool is_closed = connection.WaitForClose(kWorkTime);
+    AddRunning(arrivals, target, -1);
+    if (is_closed) {
       return;
     }
     connection.Send("HTTP/1.1 200 OK\r\nRequest-Id: " + id +
                     "\r\nResponse-Signature: 3e1b." + id +
-                    "\r\nServer-Load: 1,0,3\r\nContent-Length: 2\r\n\r\nok");
+                    "\r\nServer-Load: " + std::to_string(running) +
+                    ",0,3\r\nContent-Length: 2\r\n\r\nok");
   }
 }
 
