--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -121,6 +121,16 @@
     return true;
   }
 
+  // Applies a snapshot at position `to` that another instance has, unless this
+  // reader has reached that position already.
+  void ApplyPeerSnapshot(std::uint64_t to, std::vector<Change> changes) {
+    if (!this->next_position || *this->next_position < to) {
+      this->next_position = to;
+      this->has_expired = false;
+      this->Deliver(std::move(changes), ChangeSetKind::kSnapshot);
+    }
+  }
+
   bool is_available() const { return this->failures == 0; }
   // Returns when the last successful read was sent, or std::nullopt if there
   // was none.
@@ -164,12 +174,16 @@
     }
     const TimePoint sent_at = this->loop.Now();
     this->current_read_sent_at = sent_at;
-    auto on_read = [this, sent_at](FeedReadResult<Change> read) {
+    const ChangeSetKind kind = this->next_position && !this->has_expired
+                                   ? ChangeSetKind::kIncremental
+                                   : ChangeSetKind::kSnapshot;
+    auto on_read = [this, sent_at, kind](FeedReadResult<Change> read) {
       this->cancel_current_read = nullptr;
-      this->OnRead(std::move(read), sent_at);
+      this->OnRead(std::move(read), kind, sent_at);
     };
-    this->is_waiting = this->next_position && options.wait > Duration(0);
-    if (this->next_position) {
+    this->is_waiting =
+        kind == ChangeSetKind::kIncremental && options.wait > Duration(0);
+    if (kind == ChangeSetKind::kIncremental) {
       this->cancel_current_read = this->feed.read_from(
           *this->next_position, options, std::move(on_read));
       return;
@@ -179,7 +193,9 @@
         this->feed.read_all(options, std::move(on_read));
   }
 
-  void OnRead(FeedReadResult<Change> read, TimePoint sent_at) {
+  void OnRead(FeedReadResult<Change> read,
+              ChangeSetKind kind,
+              TimePoint sent_at) {
     if (read.status == FeedReadStatus::kUnavailable) {
       this->OnUnavailable(read.detail);
       return;
@@ -195,16 +211,18 @@
       LogEvent(LogLevel::kInfo, "feed_expired",
                {{"feed", this->name},
                 {"position", std::to_string(*this->next_position)}});
-      this->next_position.reset();
+      this->has_expired = true;
       this->Read({.timeout = this->schedule.timeout});
       return;
     }
-    const ChangeSetKind kind = this->next_position ? ChangeSetKind::kIncremental
-                                                   : ChangeSetKind::kSnapshot;
     this->newest_read_sent_at = sent_at;
-    this->next_position =
-        std::max(this->next_position.value_or(0), read.next_position);
     this->timer.StartOnce(this->schedule.interval);
+    // A peer may have told of newer changes meanwhile.
+    if (this->next_position.value_or(0) > read.next_position) {
+      return;
+    }
+    this->next_position = read.next_position;
+    this->has_expired = false;
     this->Deliver(std::move(read.changes), kind);
   }
 
@@ -247,6 +265,7 @@
   TimePoint current_read_sent_at;
   bool is_waiting = false;  // whether the current read waits for a change
   std::optional<std::uint64_t> next_position;
+  bool has_expired = false;  // changes at `next_position` are not retained
   std::optional<TimePoint> newest_read_sent_at;
   int failures = 0;  // since the last successful read
 };
--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -190,6 +190,9 @@
   parameters["p"] = Json::UInt64(digest.operator_position);
   parameters["a"] = Json::UInt64(digest.servers_from);
   parameters["z"] = Json::UInt64(digest.servers_to);
+  if (digest.has_full_server_list) {
+    parameters["l"] = true;
+  }
   for (const ServerChange& change : digest.server_changes) {
     parameters["s"].append(EncodeServerChange(change));
   }
@@ -222,7 +225,8 @@
                 .configuration_version = parameters["v"].asUInt64(),
                 .operator_position = parameters["p"].asUInt64(),
                 .servers_from = parameters["a"].asUInt64(),
-                .servers_to = parameters["z"].asUInt64()};
+                .servers_to = parameters["z"].asUInt64(),
+                .has_full_server_list = parameters["l"].asBool()};
   std::ranges::transform(parameters["s"],
                          std::back_inserter(digest.server_changes),
                          &DecodeServerChange);
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -41,9 +41,11 @@
   std::uint64_t configuration_version = 0;
   std::uint64_t operator_position = 0;  // in the operators' change feed
   // `server_changes` are all the changes between these positions of the
-  // servers' change feed.
+  // servers' change feed. With `has_full_server_list` they are the listings of
+  // all servers at `servers_to` instead: a server without one is not listed.
   std::uint64_t servers_from = 0;
   std::uint64_t servers_to = 0;
+  bool has_full_server_list = false;
   std::vector<ServerChange> server_changes;
   std::vector<DigestMember> members;  // only those whose status has changed
   std::map<std::string, DomainView> domains;  // by failure domain
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -16,6 +16,10 @@
 constexpr FeedReadSchedule kStoreSchedule = {.interval = milliseconds(700),
                                              .timeout = milliseconds(400)};
 
+// A longer list does not fit into one datagram with the rest of a digest. Peers
+// then read the store.
+constexpr std::size_t kMaxListedServersPerDigest = 500;
+
 // Reads in case that the digests are incomplete; rare, since every read is a
 // load on the store.
 constexpr FeedReadSchedule kPeersSchedule = {.interval = seconds(40),
@@ -65,6 +69,11 @@
   if (is_known) {
     return;
   }
+  if (digest.has_full_server_list) {
+    this->feed_reader.ApplyPeerSnapshot(digest.servers_to,
+                                        digest.server_changes);
+    return;
+  }
   if (!this->feed_reader.ApplyPeerChanges(
           digest.servers_from, digest.servers_to, digest.server_changes)) {
     this->feed_reader.ReadNow();
@@ -72,10 +81,22 @@
 }
 
 void ServerDiscovery::AddChangesToDigest(Digest& digest) {
-  digest.servers_from = this->sent_position;
-  digest.servers_to = this->feed_reader.position().value_or(0);
-  digest.server_changes = std::exchange(this->unsent_changes, {});
-  this->sent_position = digest.servers_to;
+  const auto position = this->feed_reader.position();
+  if (!position) {
+    return;
+  }
+  digest.servers_from = this->sent_position.value_or(*position);
+  digest.servers_to = *position;
+  digest.server_changes = this->sent_position
+                              ? std::exchange(this->unsent_changes, {})
+                              : ListedServers(this->server_roster);
+  digest.has_full_server_list =
+      !this->sent_position &&
+      digest.server_changes.size() <= kMaxListedServersPerDigest;
+  if (!this->sent_position && !digest.has_full_server_list) {
+    digest.server_changes.clear();
+  }
+  this->sent_position = position;
 }
 
 const std::vector<std::string>& ServerDiscovery::ServersOfService(
@@ -89,6 +110,10 @@
                                 ChangeSetKind kind) {
   if (kind == ChangeSetKind::kSnapshot) {
     changes = ChangesFromFullList(this->server_roster, std::move(changes));
+    // A snapshot does not tell which servers were removed before it. Peers that
+    // still know these need the full list.
+    this->sent_position.reset();
+    this->unsent_changes.clear();
   }
   for (const ServerChange& change : changes) {
     this->Apply(change);
@@ -112,7 +137,9 @@
   if (event == RosterEvent::kStale) {
     return;
   }
-  this->unsent_changes.push_back(change);
+  if (this->sent_position) {
+    this->unsent_changes.push_back(change);
+  }
   if (event == RosterEvent::kAdded || event == RosterEvent::kRestarted) {
     this->on_new_incarnation(change.server);
   }
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,7 +43,8 @@
   // earlier changes are missing.
   void ApplyDigest(const Digest& digest);
 
-  // Adds to a digest the server changes since the last call.
+  // Adds to a digest the server changes since the last call, or the full list
+  // if peers cannot be assumed to know what this instance knew before.
   void AddChangesToDigest(Digest& digest);
 
   const ServerRoster& roster() const { return this->server_roster; }
@@ -73,8 +75,10 @@
   Timer removal_timer;
   ServerRoster server_roster;
   std::map<std::string, std::vector<std::string>> names_by_service;
-  std::vector<ServerChange> unsent_changes;  // to be sent with the next digest
-  std::uint64_t sent_position = 0;           // of the servers' feed
+  // The position of the servers' feed that the last digest has stated, or
+  // std::nullopt if the next digest has to contain the full list.
+  std::optional<std::uint64_t> sent_position;
+  std::vector<ServerChange> unsent_changes;  // since `sent_position`
 };
 
 }  // namespace parsleyquay
--- a/libraries/roster/server_roster.cc
+++ b/libraries/roster/server_roster.cc
@@ -116,6 +116,16 @@
   return list;
 }
 
+std::vector<ServerChange> ListedServers(const ServerRoster& roster) {
+  std::vector<ServerChange> listed;
+  for (const auto& [server, entry] : roster.servers) {
+    if (!entry.expires_at) {
+      listed.push_back({server, entry.listing});
+    }
+  }
+  return listed;
+}
+
 void StartLapseGracePeriod(ServerRoster& roster, TimePoint now) {
   roster.lapse_grace_until = now + kLapseGracePeriod;
 }
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -73,6 +73,9 @@
 std::vector<ServerChange> ChangesFromFullList(const ServerRoster& roster,
                                               std::vector<ServerChange> list);
 
+// Returns the listed servers, without those whose listing has vanished.
+std::vector<ServerChange> ListedServers(const ServerRoster& roster);
+
 // Starts the grace period. Called when the list of servers can be read again
 // after an outage.
 void StartLapseGracePeriod(ServerRoster& roster, TimePoint now);
--- /dev/null
+++ b/tests/gateway/server_discovery_test.cc
@@ -0,0 +1,122 @@
+// Several instances' lists of backend servers, kept up to date by digests.
+
+#include "gateway/server_discovery.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/platform_wire_protocol.h"
+#include "support/await.h"
+#include "support/gateway_fixture.h"
+
+namespace parsleyquay {
+namespace {
+
+// One instance, which reads the list of servers from a store of its own, so
+// that a test can make that store unavailable to it.
+struct Instance {
+  explicit Instance(EventLoop& loop) : feed(loop), http(loop) {
+    CoordinationStore coordination;
+    coordination.servers = this->feed.feed();
+    this->context = std::make_unique<GatewayContext>(
+        loop, GatewaySettings(), this->http, std::move(coordination),
+        platform::MakePlatformWireProtocol());
+    this->discovery = std::make_unique<ServerDiscovery>(
+        *this->context, [](const std::string&) {});
+  }
+
+  bool Lists(const std::string& server) const {
+    return this->discovery->roster().servers.contains(server);
+  }
+
+  FakeFeed<ServerChange> feed;
+  HttpClient http;
+  std::unique_ptr<GatewayContext> context;
+  std::unique_ptr<ServerDiscovery> discovery;
+};
+
+ServerChange Listed(const std::string& server) {
+  return {server, ServerListing{.service = "work",
+                                .address = "127.0.0.1:1",
+                                .failure_domain = "x",
+                                .slots = 3,
+                                .incarnation = 1,
+                                .sequence = 1}};
+}
+
+struct TwoInstances {
+  TwoInstances() {
+    this->peer.feed.Append(Listed("s-stays"));
+    this->peer.feed.Append(Listed("s-leaves"));
+    this->peer.discovery->Start();
+    REQUIRE(this->AwaitLoaded(this->peer));
+    this->peer.feed.SetAvailable(false);
+  }
+
+  bool AwaitLoaded(Instance& instance) {
+    return RunLoopUntil(
+        this->loop, [&] { return instance.discovery->has_been_loaded(); },
+        seconds(2));
+  }
+
+  void SendDigest() {
+    Digest digest{.sender = "reader"};
+    this->reader.discovery->AddChangesToDigest(digest);
+    const auto received =
+        DecodeDigest(EncodeDigest(digest, this->loop.Now()), this->loop.Now());
+    REQUIRE(received);
+    this->peer.discovery->ApplyDigest(*received);
+  }
+
+  EventLoop loop;
+  Instance reader{loop};
+  Instance peer{loop};
+};
+
+// Guards against requests to a server that has left, from instances that heard
+// of the list only from an instance that restarted after the removal.
+TEST_CASE("peers learn of a removal before the restart of the list's reader") {
+  TwoInstances fleet;
+  // A snapshot of the list has no entry for a server that was removed.
+  for (const char* server : {"s-stays", "s-new", "s-other"}) {
+    fleet.reader.feed.Append(Listed(server));
+  }
+  fleet.reader.discovery->Start();
+  REQUIRE(fleet.AwaitLoaded(fleet.reader));
+  fleet.SendDigest();
+  CHECK_FALSE(fleet.peer.Lists("s-leaves"));
+  CHECK(fleet.peer.Lists("s-stays"));
+  CHECK(fleet.peer.Lists("s-new"));
+}
+
+TEST_CASE("after the full list, digests contain only changes") {
+  TwoInstances fleet;
+  for (const char* server : {"s-stays", "s-leaves", "s-new"}) {
+    fleet.reader.feed.Append(Listed(server));
+  }
+  fleet.reader.discovery->Start();
+  REQUIRE(fleet.AwaitLoaded(fleet.reader));
+  fleet.SendDigest();
+  fleet.reader.feed.Append({"s-leaves", std::nullopt});
+  REQUIRE(RunLoopUntil(
+      fleet.loop, [&] { return !fleet.reader.Lists("s-leaves"); }, seconds(2)));
+  Digest digest{.sender = "reader"};
+  fleet.reader.discovery->AddChangesToDigest(digest);
+  CHECK_FALSE(digest.has_full_server_list);
+  CHECK(digest.server_changes ==
+        std::vector<ServerChange>{{"s-leaves", std::nullopt}});
+  fleet.peer.discovery->ApplyDigest(digest);
+  CHECK_FALSE(fleet.peer.Lists("s-leaves"));
+}
+
+TEST_CASE("a full list that is older than the known one changes nothing") {
+  TwoInstances fleet;
+  Digest digest{.sender = "reader",
+                .servers_from = 1,
+                .servers_to = 1,
+                .has_full_server_list = true};
+  fleet.peer.discovery->ApplyDigest(digest);
+  CHECK(fleet.peer.Lists("s-stays"));
+}
+
+}  // namespace
+}  // namespace parsleyquay
