gateway: Announce configuration changes that only others have read

One that the store turns away heard of newer positions from other failure domains and kept them to itself; a member whose pending read had gone silent then learnt of a change only when that read ended, up to 29 s later.

Change: a digest carries the newest position that its sender has read or heard of.

Why it works: members that are behind an announced position read again, on a new connection, after 150 ms; one aggregator with access to the store is enough.

Evidence: "an aggregator without the store announces changes that others read" fails with the old position restored and passes now, with the four other cases of echoed_outcomes.

--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -39,7 +39,9 @@
 struct Digest {
   std::string sender;  // name of the member that sends it
   std::uint64_t configuration_version = 0;
-  std::uint64_t operator_position = 0;  // in the operators' change feed
+  // The newest position of the operators' change feed that the sender has read
+  // or heard of.
+  std::uint64_t operator_position = 0;
   // `server_changes` are all the changes between these positions of the
   // servers' change feed. With `has_full_server_list` they are the listings of
   // all servers at `servers_to` instead: a server without one is not listed.
--- a/libraries/gateway/configuration_watcher.h
+++ b/libraries/gateway/configuration_watcher.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_GATEWAY_CONFIGURATION_WATCHER_H_
 #define PARSLEYQUAY_GATEWAY_CONFIGURATION_WATCHER_H_
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <set>
@@ -45,6 +46,11 @@
     return this->feed_reader.position().value_or(0);
   }
 
+  // The newest position that this instance or a peer has read, as far as known.
+  std::uint64_t newest_known_position() const {
+    return std::max(this->position(), this->peer_position);
+  }
+
  private:
   void ReadMissingChanges();
   void UpdateLag();
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -155,7 +155,7 @@
                 digest.configuration_version =
                     this->context.configuration_version();
                 digest.operator_position =
-                    this->configuration_watcher.position();
+                    this->configuration_watcher.newest_known_position();
                 this->server_discovery.AddChangesToDigest(digest);
               },
           .on_role_change =
--- a/tests/gateway/echoed_outcomes_test.cc
+++ b/tests/gateway/echoed_outcomes_test.cc
@@ -58,6 +58,7 @@
     const auto received = static_cast<long>(CountOutcomes(digest->outcomes));
     if (digest->sender == fixture.settings.name) {
       this->heard_from_gateway += received;
+      this->announced_position = digest->operator_position;
     }
     if (received <= kMaxForwardedOutcomes) {
       MergeSummary(this->unsent, digest->outcomes);
@@ -81,6 +82,7 @@
   std::vector<std::string> others;  // peer addresses
   OutcomeSummary unsent;
   long heard_from_gateway = 0;
+  std::uint64_t announced_position = 0;  // in the gateway's newest digest
   Timer timer;
 };
 
@@ -150,6 +152,21 @@
   CHECK(fleet.b->heard_from_gateway == 1);
 }
 
+// Guards against instances that miss a configuration because their aggregator,
+// which the store turns away, does not tell them that it exists.
+TEST_CASE(
+    "an aggregator without the store announces changes that others read") {
+  constexpr std::uint64_t kNewPosition = 100;
+  ThreeAggregators fleet("y");
+  fleet.operators.SetAvailable(false);
+  fleet.a->transport->Send(fleet.settings.peer_address, kDigestMethod,
+                           EncodeDigest({.sender = fleet.a->record.name,
+                                         .operator_position = kNewPosition},
+                                        fleet.loop.Now()));
+  CHECK(fleet.Await([&] { return fleet.b->announced_position == kNewPosition; },
+                    seconds(1)));
+}
+
 // Guards against computation proportional to a count in a message: it would
 // block the event loop of the instance that receives it.
 TEST_CASE("a digest of very many outcomes does not block the event loop") {
