gateway: Send nothing more to a server that says that it leaves

Change: the header of a response that belongs to the request marks the listed incarnation of the server. Renewals of its listing do not take that back; a new incarnation or address does. The header is not passed on to clients.

Evidence: "a server that says that it leaves gets no further requests" fails with the header ignored and passes now for 200, 500 and 503 with the store unavailable; "a leaving server gets no requests until it is a new incarnation".

--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -44,7 +44,7 @@
 }  // namespace
 
 LoadBalancer::LoadBalancer(GatewayContext& context,
-                           const ServerDiscovery& discovery,
+                           ServerDiscovery& discovery,
                            OnReport on_report,
                            OnFailedRequest on_failed_request)
     : context(context),
--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -52,7 +52,7 @@
   using OnFailedRequest = std::function<void(const std::string& service)>;
 
   LoadBalancer(GatewayContext& context,
-               const ServerDiscovery& discovery,
+               ServerDiscovery& discovery,
                OnReport on_report,
                OnFailedRequest on_failed_request);
 
@@ -80,6 +80,11 @@
   // address.
   void MarkMisdirected(const ServerReservation& reservation);
 
+  // Excludes the server for good, since it has stated that it leaves.
+  void MarkLeaving(const ServerReservation& reservation) {
+    this->discovery.MarkLeaving(reservation.server, reservation.address);
+  }
+
   // Updates the estimates with outcomes that any instance has observed.
   void ApplyOutcomes(const OutcomeSummary& outcomes);
 
@@ -136,7 +141,7 @@
   ServiceTraffic TrafficOf(const std::string& service) const;
 
   GatewayContext& context;
-  const ServerDiscovery& discovery;
+  ServerDiscovery& discovery;
   OnReport on_report;
   OnFailedRequest on_failed_request;
   ServerFailureModel model;
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -151,6 +151,15 @@
     this->attempt.load = this->context.protocol.parse_load(load);
   }
   this->attempt.failure = this->FindFailure();
+  // A misdirected request was answered by another server at the address.
+  const bool is_from_server =
+      this->attempt.failure != AttemptResult::kMismatchedResponse &&
+      status != kMisdirectedStatus;
+  if (is_from_server &&
+      HeaderValueOrEmpty(headers, this->context.protocol.leaving_header) ==
+          "1") {
+    this->dependencies.load_balancer.MarkLeaving(this->attempt.reservation);
+  }
 }
 
 // Returns the failure that the response headers show, or std::nullopt if the
@@ -367,7 +376,8 @@
     return IsAnyOf(
         header.name,
         {"Content-Length", protocol.load_header, protocol.server_id_header,
-         protocol.cold_remaining_header, protocol.not_executed_header});
+         protocol.leaving_header, protocol.cold_remaining_header,
+         protocol.not_executed_header});
   });
   this->has_response_started = true;
   this->exchange->BeginResponse(this->attempt.status, std::move(headers),
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -63,6 +63,21 @@
   this->server_roster.withdrawn_domains = domains;
 }
 
+void ServerDiscovery::MarkLeaving(const std::string& server,
+                                  const std::string& address) {
+  const auto found = this->server_roster.servers.find(server);
+  const bool is_listed_there = found != this->server_roster.servers.end() &&
+                               found->second.listing.address == address;
+  if (is_listed_there &&
+      parsleyquay::MarkLeaving(this->server_roster, server)) {
+    LogEvent(LogLevel::kInfo, "server_list",
+             {{"server", server},
+              {"change", "leaving"},
+              {"service", found->second.listing.service},
+              {"address", address}});
+  }
+}
+
 void ServerDiscovery::ApplyDigest(const Digest& digest) {
   const bool is_known =
       this->feed_reader.position().value_or(0) >= digest.servers_to;
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -47,6 +47,10 @@
   // if peers cannot be assumed to know what this instance knew before.
   void AddChangesToDigest(Digest& digest);
 
+  // The server at `address` has stated that it leaves. Has no effect if the
+  // server is listed at another address by now.
+  void MarkLeaving(const std::string& server, const std::string& address);
+
   const ServerRoster& roster() const { return this->server_roster; }
 
   // Whether the newest read of the store succeeded.
--- a/libraries/gateway/wire_protocol.h
+++ b/libraries/gateway/wire_protocol.h
@@ -45,6 +45,7 @@
   std::string response_signature_header;
   std::string load_header;            // see parse_load
   std::string server_id_header;       // id of the backend server that responded
+  std::string leaving_header;         // its value is "1" if the server leaves
   std::string cold_remaining_header;  // time until the server is no longer cold
 
   // Parses the value of `load_header`. Returns std::nullopt if it is
--- a/libraries/roster/server_roster.cc
+++ b/libraries/roster/server_roster.cc
@@ -98,6 +98,7 @@
   const RosterEvent event = CompareEntries(found->second, entry);
   if (event != RosterEvent::kRestarted) {
     entry.listed_at = found->second.listed_at;
+    entry.is_leaving = found->second.is_leaving;
   }
   found->second = std::move(entry);
   return event;
@@ -156,8 +157,18 @@
   return removed;
 }
 
+bool MarkLeaving(ServerRoster& roster, const std::string& server) {
+  const auto found = roster.servers.find(server);
+  const bool is_news =
+      found != roster.servers.end() && !found->second.is_leaving;
+  if (is_news) {
+    found->second.is_leaving = true;
+  }
+  return is_news;
+}
+
 bool MayReceiveRequests(const ServerRoster& roster, const RosterEntry& entry) {
-  return !entry.listing.is_draining &&
+  return !entry.listing.is_draining && !entry.is_leaving &&
          !roster.withdrawn_domains.contains(entry.listing.failure_domain);
 }
 
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -18,6 +18,9 @@
   ServerListing listing;
   TimePoint cold_until;
   TimePoint listed_at;  // when this incarnation of the server was first read
+  // Whether this incarnation has stated in a response that it leaves. It never
+  // takes that back.
+  bool is_leaving = false;
   // When the server is removed. Set if its listing has vanished, but the server
   // is still used, see kLapseGracePeriod.
   std::optional<TimePoint> expires_at;
@@ -89,8 +92,12 @@
 std::vector<std::string> RemoveExpiredServers(ServerRoster& roster,
                                               TimePoint now);
 
-// Returns whether requests may be sent to the server: it is not draining, and
-// its failure domain is not withdrawn.
+// Records that the listed incarnation of the server leaves. Returns whether
+// that was not known.
+bool MarkLeaving(ServerRoster& roster, const std::string& server);
+
+// Returns whether requests may be sent to the server: it is not draining or
+// leaving, and its failure domain is not withdrawn.
 bool MayReceiveRequests(const ServerRoster& roster, const RosterEntry& entry);
 
 // Returns the name of the event in log lines.
--- a/tests/gateway/proxying_test.cc
+++ b/tests/gateway/proxying_test.cc
@@ -478,6 +478,28 @@
   CHECK(fixture.server.requests().empty());
 }
 
+// Guards against requests to a server that the instance itself has heard to be
+// leaving, although the store does not say so, or is unavailable.
+TEST_CASE("a server that says that it leaves gets no further requests") {
+  const std::string status = GENERATE("200 OK", "500 Oops", "503 Full");
+  const std::string headers =
+      "Response-Signature: sig\r\nServer-Leaving: 1\r\n";
+  TwoServers fixture([&](const RawRequest& request) {
+    const std::string refusal =
+        status == "503 Full" ? "Not-Executed: 1\r\n" : "";
+    return RawResponse{MakeResponse(request, status, headers + refusal, "x")};
+  });
+  fixture.SendUntilBad("GET", "/safe/1");
+  fixture.ListServer("s-bad", fixture.bad.address());  // a renewal
+  fixture.RunFor(seconds(1));
+  fixture.servers.SetAvailable(false);
+  const std::size_t before = fixture.bad.requests().size();
+  for (int i = 0; i < 60; ++i) {
+    CHECK(fixture.Send("GET", "/safe/1").status == 200);
+  }
+  CHECK(fixture.bad.requests().size() == before);
+}
+
 TEST_CASE("a draining server gets no further requests") {
   OneServer fixture(Good("hello"));
   CHECK(fixture.Send("GET", "/safe/1").status == 200);
--- a/tests/roster/server_roster_test.cc
+++ b/tests/roster/server_roster_test.cc
@@ -76,6 +76,18 @@
   CHECK(ApplyServerChange(roster, removal, kStart) == RosterEvent::kRemoved);
 }
 
+TEST_CASE("a leaving server gets no requests until it is a new incarnation") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9), kStart);
+  CHECK(MarkLeaving(roster, "s1"));
+  CHECK_FALSE(MarkLeaving(roster, "s1"));
+  CHECK_FALSE(MarkLeaving(roster, "unknown"));
+  ApplyServerChange(roster, Listed(5, 10), kStart + seconds(1));
+  CHECK_FALSE(MayReceiveRequests(roster, roster.servers.at("s1")));
+  ApplyServerChange(roster, Listed(6, 1), kStart + seconds(2));
+  CHECK(MayReceiveRequests(roster, roster.servers.at("s1")));
+}
+
 TEST_CASE("a full list removes the servers that it does not contain") {
   ServerRoster roster;
   ApplyServerChange(roster, Listed(5, 9), kStart);
