tests: Show that an endless response is bounded by its client

Operators reported that a faulty server's endless bytes used up the memory of an instance of a system like ours. Here heads and trailers end at 64 KB, bodies of failures at 64 KB, and other bodies are buffered up to 640 KB before they are streamed; "endless data that is no valid response is not read to the end" covers all but the last. The new case covers a signed response whose client reads nothing. It passed at once: the fault does not occur, no code is changed.

--- a/tests/gateway/proxying_test.cc
+++ b/tests/gateway/proxying_test.cc
@@ -366,6 +366,35 @@
   }
 }
 
+// Guards against an instance that keeps all bytes of an endless response until
+// its memory is used up, because the client does not read them.
+TEST_CASE("an endless response is not read faster than its client reads it") {
+  constexpr std::size_t kMostRead = 8 * 1024 * 1024;  // socket buffers included
+  const std::string method = GENERATE("GET", "POST");
+  const std::string page(4'096, 'x');
+  OneServer fixture([&](const RawRequest& request) {
+    return RawResponse{WithoutLength(request, ""), ConnectionAction::kKeep,
+                       page};
+  });
+  CallRequest request{
+      .method = method,
+      .address = fixture.settings.request_address,
+      .target = method == "GET" ? "/bulk/1" : "/once/1",
+      .headers = {{"Host", "a.example"},
+                  {"Request-Id", "r-1"},
+                  {"Request-Deadline", "1000"},
+                  {"Authorization", "Bearer shop-key"}},
+      .connection_use = ConnectionUse::kFresh,
+  };
+  const auto call = fixture.caller.Start(
+      request, {.on_data = [](std::string_view) { return false; }});
+  fixture.RunFor(milliseconds(800));
+  CHECK(fixture.server.requests().size() == 1);
+  CHECK(fixture.server.endless_bytes() < kMostRead);
+  call->Cancel();
+  CHECK(fixture.Await([&] { return fixture.server.open_connections() == 0; }));
+}
+
 TEST_CASE("a response without a length ends when its connection is closed") {
   OneServer fixture([](const RawRequest& request) {
     return RawResponse{WithoutLength(request, "all of it"),
