gateway: Simplify full server lists and given-up shards

Found when the change was read once more; behaviour stays as it is. The list of a digest is chosen by one branch and no longer filled and cleared again. The buckets of a shard that is given up were erased twice: the next assignment drops them anyway, and until then they are not used.

Run: the three cases of server_discovery_test, both "the rate limit holds while" cases of promises_platform, format, linter on both files. Not run: the rest of the suite on this commit.

--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -102,14 +102,13 @@
   }
   digest.servers_from = this->sent_position.value_or(*position);
   digest.servers_to = *position;
-  digest.server_changes = this->sent_position
-                              ? std::exchange(this->unsent_changes, {})
-                              : ListedServers(this->server_roster);
-  digest.has_full_server_list =
-      !this->sent_position &&
-      digest.server_changes.size() <= kMaxListedServersPerDigest;
-  if (!this->sent_position && !digest.has_full_server_list) {
-    digest.server_changes.clear();
+  if (this->sent_position) {
+    digest.server_changes = std::exchange(this->unsent_changes, {});
+  } else if (std::vector<ServerChange> list =
+                 ListedServers(this->server_roster);
+             list.size() <= kMaxListedServersPerDigest) {
+    digest.has_full_server_list = true;
+    digest.server_changes = std::move(list);
   }
   this->sent_position = position;
 }
--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -178,7 +178,7 @@
 }
 
 void WorkspaceRateLimiter::GiveUpSupersededShards() {
-  const std::vector<long> owned = this->OwnedShards();
+  const bool owned_any = !this->OwnedShards().empty();
   const auto given_up =
       std::erase_if(this->assignment.shards, [this](long shard) {
         const auto claim =
@@ -189,15 +189,12 @@
   if (given_up == 0) {
     return;
   }
-  std::erase_if(this->token_buckets.buckets, [this](const auto& bucket) {
-    return std::ranges::find(this->assignment.shards,
-                             this->ShardOf(bucket.first)) ==
-           this->assignment.shards.end();
-  });
   LogEvent(LogLevel::kWarning, "duties_superseded",
            {{"generation", std::to_string(this->assignment.generation)},
             {"duties", std::to_string(given_up)}});
-  if (this->OwnedShards() != owned) {
+  // The next assignment drops the buckets of these shards, since it does not
+  // continue their ownership.
+  if (owned_any) {
     this->on_ownership_change();
   }
 }
