gateway: Look up the owners of a shard in one place

The search for a shard's owner to ask and the one for a competing claim looped over the same members with the same conditions; both now call OtherOwners. Claims are updated only if a member's status has changed. A server that says that it leaves is looked up once, by SetLeaving, which also no longer shares its name with a method; its test gains the case of another address.

--- a/libraries/dissemination/member_table.cc
+++ b/libraries/dissemination/member_table.cc
@@ -77,9 +77,11 @@
     entry.shard_claims.clear();
   }
   const bool has_changed = entry.status != status;
-  entry.status = status;
-  entry.shard_claims =
-      UpdateClaims(entry.shard_claims, status.owned_shards, now);
+  if (has_changed) {
+    entry.status = status;
+    entry.shard_claims =
+        UpdateClaims(entry.shard_claims, status.owned_shards, now);
+  }
   entry.last_heard_at = heard_at;
   return has_changed;
 }
@@ -190,18 +192,27 @@
   return domains;
 }
 
+std::vector<const MemberEntry*> OtherOwners(const MemberTable& table,
+                                            const std::string& name,
+                                            long shard,
+                                            TimePoint now) {
+  std::vector<const MemberEntry*> owners;
+  for (const auto& [other, entry] : table.members) {
+    if (other != name && IsAlive(entry, now) &&
+        entry.shard_claims.contains(shard)) {
+      owners.push_back(&entry);
+    }
+  }
+  return owners;
+}
+
 std::optional<TimePoint> NewestOtherClaim(const MemberTable& table,
                                           const std::string& name,
                                           long shard,
                                           TimePoint now) {
   std::optional<TimePoint> newest;
-  for (const auto& [other, entry] : table.members) {
-    const auto claim = entry.shard_claims.find(shard);
-    const bool is_live_claim = other != name && IsAlive(entry, now) &&
-                               claim != entry.shard_claims.end();
-    if (is_live_claim && (!newest || *newest < claim->second)) {
-      newest = claim->second;
-    }
+  for (const MemberEntry* owner : OtherOwners(table, name, shard, now)) {
+    newest = std::max(newest, std::optional(owner->shard_claims.at(shard)));
   }
   return newest;
 }
--- a/libraries/dissemination/member_table.h
+++ b/libraries/dissemination/member_table.h
@@ -115,8 +115,15 @@
 // Returns the failure domains of all members, in alphabetical order.
 std::set<std::string> FailureDomains(const MemberTable& table);
 
-// Returns when the live members other than `name` that own the shard were first
-// heard to own it, the latest such time, or std::nullopt if no other does.
+// Returns the live members other than `name` that own the shard. There may be
+// several for a short time.
+std::vector<const MemberEntry*> OtherOwners(const MemberTable& table,
+                                            const std::string& name,
+                                            long shard,
+                                            TimePoint now);
+
+// Returns the latest time at which one of the other owners was first heard to
+// own the shard, or std::nullopt if there is none.
 std::optional<TimePoint> NewestOtherClaim(const MemberTable& table,
                                           const std::string& name,
                                           long shard,
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -57,7 +57,7 @@
   bool is_leaving = false;  // graceful shutdown has begun
   // Latest deadline of requests during a graceful shutdown; unset before.
   std::optional<TimePoint> drain_deadline;
-  // From then on, a leaving instance accepts only requests whose own deadline
+  // When a leaving instance begins to accept only requests whose own deadline
   // is earlier than `drain_deadline`, so that it has to break off none of them.
   TimePoint full_deadline_since;
   std::set<ProxiedRequest*> active_requests;
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -65,16 +65,13 @@
 
 void ServerDiscovery::MarkLeaving(const std::string& server,
                                   const std::string& address) {
-  const auto found = this->server_roster.servers.find(server);
-  const bool is_listed_there = found != this->server_roster.servers.end() &&
-                               found->second.listing.address == address;
-  if (is_listed_there &&
-      parsleyquay::MarkLeaving(this->server_roster, server)) {
-    LogEvent(LogLevel::kInfo, "server_list",
-             {{"server", server},
-              {"change", "leaving"},
-              {"service", found->second.listing.service},
-              {"address", address}});
+  if (SetLeaving(this->server_roster, server, address)) {
+    LogEvent(
+        LogLevel::kInfo, "server_list",
+        {{"server", server},
+         {"change", "leaving"},
+         {"service", this->server_roster.servers.at(server).listing.service},
+         {"address", address}});
   }
 }
 
--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -283,19 +283,14 @@
 
 std::optional<std::string> WorkspaceRateLimiter::OwnerAddressOf(
     long shard) const {
-  const TimePoint now = this->context.Now();
-  const MemberEntry* newest = nullptr;
-  for (const auto& [name, entry] : this->context.members.members) {
-    const bool is_owner = name != this->context.settings.name &&
-                          IsAlive(entry, now) &&
-                          std::ranges::find(entry.status.owned_shards, shard) !=
-                              entry.status.owned_shards.end();
-    if (is_owner && (!newest || newest->last_heard_at < entry.last_heard_at)) {
-      newest = &entry;
-    }
-  }
-  return newest ? std::optional(newest->status.record.peer_address)
-                : std::nullopt;
+  const std::vector<const MemberEntry*> owners =
+      OtherOwners(this->context.members, this->context.settings.name, shard,
+                  this->context.Now());
+  const auto newest =
+      std::ranges::max_element(owners, {}, &MemberEntry::last_heard_at);
+  return newest == owners.end()
+             ? std::nullopt
+             : std::optional((*newest)->status.record.peer_address);
 }
 
 RateLimitDecision WorkspaceRateLimiter::DecideByFallbackQuota(
--- a/libraries/roster/server_roster.cc
+++ b/libraries/roster/server_roster.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace parsleyquay {
 
@@ -157,14 +158,13 @@
   return removed;
 }
 
-bool MarkLeaving(ServerRoster& roster, const std::string& server) {
+bool SetLeaving(ServerRoster& roster,
+                const std::string& server,
+                const std::string& address) {
   const auto found = roster.servers.find(server);
-  const bool is_news =
-      found != roster.servers.end() && !found->second.is_leaving;
-  if (is_news) {
-    found->second.is_leaving = true;
-  }
-  return is_news;
+  const bool is_listed_there =
+      found != roster.servers.end() && found->second.listing.address == address;
+  return is_listed_there && !std::exchange(found->second.is_leaving, true);
 }
 
 bool MayReceiveRequests(const ServerRoster& roster, const RosterEntry& entry) {
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -92,9 +92,11 @@
 std::vector<std::string> RemoveExpiredServers(ServerRoster& roster,
                                               TimePoint now);
 
-// Records that the listed incarnation of the server leaves. Returns whether
-// that was not known.
-bool MarkLeaving(ServerRoster& roster, const std::string& server);
+// Records that the server at `address` leaves. Returns whether it is listed
+// there and that was not known.
+bool SetLeaving(ServerRoster& roster,
+                const std::string& server,
+                const std::string& address);
 
 // Returns whether requests may be sent to the server: it is not draining or
 // leaving, and its failure domain is not withdrawn.
--- a/tests/roster/server_roster_test.cc
+++ b/tests/roster/server_roster_test.cc
@@ -79,9 +79,11 @@
 TEST_CASE("a leaving server gets no requests until it is a new incarnation") {
   ServerRoster roster;
   ApplyServerChange(roster, Listed(5, 9), kStart);
-  CHECK(MarkLeaving(roster, "s1"));
-  CHECK_FALSE(MarkLeaving(roster, "s1"));
-  CHECK_FALSE(MarkLeaving(roster, "unknown"));
+  CHECK_FALSE(SetLeaving(roster, "s1", "127.0.0.1:2"));
+  CHECK(MayReceiveRequests(roster, roster.servers.at("s1")));
+  CHECK(SetLeaving(roster, "s1", "127.0.0.1:1"));
+  CHECK_FALSE(SetLeaving(roster, "s1", "127.0.0.1:1"));
+  CHECK_FALSE(SetLeaving(roster, "unknown", "127.0.0.1:1"));
   ApplyServerChange(roster, Listed(5, 10), kStart + seconds(1));
   CHECK_FALSE(MayReceiveRequests(roster, roster.servers.at("s1")));
   ApplyServerChange(roster, Listed(6, 1), kStart + seconds(2));
