--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -52,6 +52,15 @@
     this->peer.feed.SetAvailable(false);
   }
 
+  // Starts the reader, whose snapshot of the list holds these servers.
+  void StartReader(std::initializer_list<const char*> servers) {
+    for (const char* server : servers) {
+      this->reader.feed.Append(Listed(server));
+    }
+    this->reader.discovery->Start();
+    REQUIRE(this->AwaitLoaded(this->reader));
+  }
+
   bool AwaitLoaded(Instance& instance) {
     return RunLoopUntil(
         this->loop, [&] { return instance.discovery->has_been_loaded(); },
@@ -77,11 +86,7 @@
 TEST_CASE("peers learn of a removal before the restart of the list's reader") {
   TwoInstances fleet;
   // A snapshot of the list has no entry for a server that was removed.
-  for (const char* server : {"s-stays", "s-new", "s-other"}) {
-    fleet.reader.feed.Append(Listed(server));
-  }
-  fleet.reader.discovery->Start();
-  REQUIRE(fleet.AwaitLoaded(fleet.reader));
+  fleet.StartReader({"s-stays", "s-new", "s-other"});
   fleet.SendDigest();
   CHECK_FALSE(fleet.peer.Lists("s-leaves"));
   CHECK(fleet.peer.Lists("s-stays"));
@@ -90,11 +95,7 @@
 
 TEST_CASE("after the full list, digests contain only changes") {
   TwoInstances fleet;
-  for (const char* server : {"s-stays", "s-leaves", "s-new"}) {
-    fleet.reader.feed.Append(Listed(server));
-  }
-  fleet.reader.discovery->Start();
-  REQUIRE(fleet.AwaitLoaded(fleet.reader));
+  fleet.StartReader({"s-stays", "s-leaves", "s-new"});
   fleet.SendDigest();
   fleet.reader.feed.Append({"s-leaves", std::nullopt});
   REQUIRE(RunLoopUntil(
--- a/tests/promises/platform_test.cc
+++ b/tests/promises/platform_test.cc
@@ -9,8 +9,8 @@
 #include <set>
 
 #include "support/configuration_text.h"
-#include "support/gateway_fixture.h"
 #include "support/gateway_processes.h"
+#include "support/scripted_fixtures.h"
 
 namespace parsleyquay {
 namespace {
@@ -22,12 +22,6 @@
   return ConfigurationText(version, {{"shop", keys, rate, burst}});
 }
 
-ScriptedServer::Script Good() {
-  return [](const RawRequest& request) {
-    return RawResponse{SignedOkResponse(request, "fine")};
-  };
-}
-
 TEST_CASE("every gateway forwards requests and returns all addresses") {
   GatewayProcesses fleet(3);
   ScriptedServer& server = fleet.AddServer("s-1", Good());
@@ -86,29 +80,37 @@
 // in any five seconds.
 constexpr double kMaxRequests = (kRate * 5 + kBurst) * 1.1 + 20;
 
-// Returns the largest number of arrivals in any five seconds.
-double MostArrivals(const std::vector<TimePoint>& arrivals) {
-  std::ptrdiff_t most = 0;
-  for (const TimePoint first : arrivals) {
-    most = std::max(most, std::ranges::count_if(arrivals, [&](TimePoint at) {
-                      return at >= first && at - first <= seconds(5);
-                    }));
+// Three gateways, and one server that records when requests arrive.
+struct RateLimitedFleet : GatewayProcesses {
+  RateLimitedFleet() : GatewayProcesses(3) {
+    REQUIRE(this->Start(Configuration(1, R"("shop-key")", kRate, kBurst)));
+    this->AddServer("s-1", [this](const RawRequest& request) {
+      this->arrivals.push_back(this->loop.Now());
+      return RawResponse{SignedOkResponse(request, "fine")};
+    });
+    this->RunFor(seconds(2));
+  }
+
+  // Returns the largest number of arrivals in any five seconds.
+  double MostArrivals() const {
+    std::ptrdiff_t most = 0;
+    for (const TimePoint first : this->arrivals) {
+      most = std::max(most,
+                      std::ranges::count_if(this->arrivals, [&](TimePoint at) {
+                        return at >= first && at - first <= seconds(5);
+                      }));
+    }
+    return static_cast<double>(most);
   }
-  return static_cast<double>(most);
-}
+
+  std::vector<TimePoint> arrivals;
+};
 
 // Every gateway receives requests as fast as it responds, and one of them is
 // killed. Its shards of the rate limit move to others, which must not admit
 // more than rate, burst and tolerance.
 TEST_CASE("the rate limit holds while an instance is killed and restarted") {
-  GatewayProcesses fleet(3);
-  REQUIRE(fleet.Start(Configuration(1, R"("shop-key")", kRate, kBurst)));
-  std::vector<TimePoint> arrivals;
-  fleet.AddServer("s-1", [&](const RawRequest& request) {
-    arrivals.push_back(fleet.loop.Now());
-    return RawResponse{SignedOkResponse(request, "fine")};
-  });
-  fleet.RunFor(seconds(2));
+  RateLimitedFleet fleet;
   const TimePoint began = fleet.loop.Now();
   bool is_killed = false;
   bool is_back = false;
@@ -126,9 +128,9 @@
       fleet.Send(gateway, "GET", "/safe/1");
     }
   }
-  REQUIRE(MostArrivals(arrivals) <= kMaxRequests);
+  REQUIRE(fleet.MostArrivals() <= kMaxRequests);
   // At least half of the rate is admitted.
-  CHECK(arrivals.size() > 16 * kRate / 2);
+  CHECK(fleet.arrivals.size() > 16 * kRate / 2);
 }
 
 // Guards against two owners of one shard: the store assigns all shards anew and
@@ -137,14 +139,7 @@
 TEST_CASE("the rate limit holds while the store reassigns shards unnoticed") {
   constexpr Duration kTurnedAway = milliseconds(5'500);
   constexpr Duration kRound = milliseconds(7'500);
-  GatewayProcesses fleet(3);
-  REQUIRE(fleet.Start(Configuration(1, R"("shop-key")", kRate, kBurst)));
-  std::vector<TimePoint> arrivals;
-  fleet.AddServer("s-1", [&](const RawRequest& request) {
-    arrivals.push_back(fleet.loop.Now());
-    return RawResponse{SignedOkResponse(request, "fine")};
-  });
-  fleet.RunFor(seconds(2));
+  RateLimitedFleet fleet;
   int open = 0;
   const auto send_until = [&](TimePoint end) {
     while (fleet.loop.Now() < end) {
@@ -165,9 +160,9 @@
     send_until(began + kRound);
   }
   REQUIRE(fleet.Await([&] { return open == 0; }));
-  CHECK(MostArrivals(arrivals) <= kMaxRequests);
+  CHECK(fleet.MostArrivals() <= kMaxRequests);
   // At least half of the rate is admitted.
-  CHECK(static_cast<double>(arrivals.size()) >
+  CHECK(static_cast<double>(fleet.arrivals.size()) >
         ToSeconds(kRound * fleet.count()) * kRate / 2);
 }
 
--- a/tests/promises/silent_connections_test.cc
+++ b/tests/promises/silent_connections_test.cc
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "support/configuration_text.h"
-#include "support/gateway_fixture.h"
 #include "support/gateway_processes.h"
+#include "support/scripted_fixtures.h"
 
 namespace parsleyquay {
 namespace {
@@ -15,12 +15,6 @@
   return ConfigurationText(version, {{"shop", "\"" + key + "\"", 0, 0}});
 }
 
-ScriptedServer::Script Good() {
-  return [](const RawRequest& request) {
-    return RawResponse{SignedOkResponse(request, "fine")};
-  };
-}
-
 // The connections never end, so that only timeouts of the instances show that
 // they are dead. New connections work.
 TEST_CASE("changes take effect in time although store connections are silent") {
