gateway: Log the connection of an attempt and why it failed

An attempt line now has connection=new, reused or none, and a reason if the attempt failed. No change of what is sent or accepted.

--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -66,7 +66,9 @@
     std::string buffered_response;
     // Body bytes received after headers that show a failure.
     std::size_t failed_response_bytes = 0;
-    std::optional<AttemptResult> failure;  // found in the response headers
+    std::optional<AttemptResult> failure;      // found in the response headers
+    std::string failure_reason;                // why a response was discarded
+    std::optional<CallConnection> connection;  // unset: none was ready
     bool is_overdue = false;  // no response within the route's latency target
     std::optional<ReportedLoad> load;
   };
@@ -84,8 +86,10 @@
   void Send(ServerReservation reservation);
   CallRequest MakeCall() const;
   BodyChunk ReadBody(char* buffer, std::size_t capacity);
+  void OnConnection(const CallConnection& connection);
   void OnHead(int status, const HeaderList& headers);
-  std::optional<AttemptResult> FindFailure() const;
+  void FindFailure();
+  void RecordFailure(AttemptResult failure, std::string_view reason);
   bool OnData(std::string_view data);
   void OnDataOfFailedResponse(std::string_view data);
   void OnDone(const CallResult& result);
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -64,6 +64,13 @@
   });
 }
 
+std::string ConnectionName(const std::optional<CallConnection>& connection) {
+  if (!connection) {
+    return "none";
+  }
+  return connection->is_reused ? "reused" : "new";
+}
+
 std::string_view AttemptResultName(AttemptResult attempt_result) {
   switch (attempt_result) {
     case AttemptResult::kResponseReceived:
@@ -95,7 +102,8 @@
               this->dependencies.retry_limit());
   }
   CallHandlers handlers = BindCallHandlers<ProxiedRequest>(
-      this->weak_from_this(), {.read_body = &ProxiedRequest::ReadBody,
+      this->weak_from_this(), {.on_connection = &ProxiedRequest::OnConnection,
+                               .read_body = &ProxiedRequest::ReadBody,
                                .on_head = &ProxiedRequest::OnHead,
                                .on_data = &ProxiedRequest::OnData,
                                .on_done = &ProxiedRequest::OnDone});
@@ -142,6 +150,10 @@
                          capacity);
 }
 
+void ProxiedRequest::OnConnection(const CallConnection& connection) {
+  this->attempt.connection = connection;
+}
+
 void ProxiedRequest::OnHead(int status, const HeaderList& headers) {
   this->attempt.status = status;
   this->attempt.headers = headers;
@@ -150,7 +162,7 @@
   if (!load.empty()) {
     this->attempt.load = this->context.protocol.parse_load(load);
   }
-  this->attempt.failure = this->FindFailure();
+  this->FindFailure();
   // A misdirected request was answered by another server at the address.
   const bool is_from_server =
       this->attempt.failure != AttemptResult::kMismatchedResponse &&
@@ -162,9 +174,9 @@
   }
 }
 
-// Returns the failure that the response headers show, or std::nullopt if the
+// Records the failure that the response headers show, if any. Without one, the
 // response may belong to this request.
-std::optional<AttemptResult> ProxiedRequest::FindFailure() const {
+void ProxiedRequest::FindFailure() {
   const WireProtocol& protocol = this->context.protocol;
   const HeaderList& headers = this->attempt.headers;
   const int status = this->attempt.status;
@@ -172,22 +184,25 @@
   // request on the same connection.
   if (HeaderValueOrEmpty(headers, protocol.request_id_header) !=
       this->request_id) {
-    return AttemptResult::kMismatchedResponse;
-  }
-  if (status == kMisdirectedStatus ||
-      FindHeader(headers, protocol.not_executed_header) != nullptr) {
-    return AttemptResult::kShed;
-  }
-  const bool has_signature =
-      FindHeader(headers, protocol.response_signature_header) != nullptr;
-  const bool is_encoded = FindHeader(headers, "Content-Encoding") != nullptr;
-  if (is_encoded || (IsSuccess(status) && !has_signature)) {
-    return AttemptResult::kMismatchedResponse;
+    this->RecordFailure(AttemptResult::kMismatchedResponse, "other_request");
+  } else if (status == kMisdirectedStatus) {
+    this->RecordFailure(AttemptResult::kShed, "misdirected");
+  } else if (FindHeader(headers, protocol.not_executed_header)) {
+    this->RecordFailure(AttemptResult::kShed, "not_executed");
+  } else if (FindHeader(headers, "Content-Encoding")) {
+    this->RecordFailure(AttemptResult::kMismatchedResponse, "encoded");
+  } else if (IsSuccess(status) &&
+             !FindHeader(headers, protocol.response_signature_header)) {
+    this->RecordFailure(AttemptResult::kMismatchedResponse, "not_signed");
+  } else if (status >= kFirstServerError) {
+    this->RecordFailure(AttemptResult::kServerError, "server_error");
   }
-  if (status >= kFirstServerError) {
-    return AttemptResult::kServerError;
-  }
-  return std::nullopt;
+}
+
+void ProxiedRequest::RecordFailure(AttemptResult failure,
+                                   std::string_view reason) {
+  this->attempt.failure = failure;
+  this->attempt.failure_reason = reason;
 }
 
 bool ProxiedRequest::OnData(std::string_view data) {
@@ -228,6 +243,10 @@
 
 void ProxiedRequest::OnDone(const CallResult& result) {
   this->attempt.call = nullptr;
+  if (result.outcome != CallOutcome::kComplete &&
+      this->attempt.failure_reason.empty()) {
+    this->attempt.failure_reason = result.detail;
+  }
   switch (result.outcome) {
     case CallOutcome::kNeverSent:
       this->EndAttempt(AttemptResult::kNeverSent);
@@ -437,16 +456,25 @@
 void ProxiedRequest::LogAttempt(std::string_view outcome) const {
   const ServerReservation& reservation = this->attempt.reservation;
   const Duration elapsed = this->context.Now() - reservation.acquired_at;
-  LogEvent(LogLevel::kInfo, "attempt",
-           {{"request", this->request_id},
-            {"server", reservation.server},
-            {"outcome", std::string(outcome)},
-            {"status", std::to_string(this->attempt.status)},
-            {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
-            {"failure_percent", std::to_string(static_cast<int>(
-                                    reservation.failure_probability * 100))},
-            {"load", std::to_string(static_cast<int>(reservation.load))},
-            {"repeatable", this->route().is_idempotent ? "yes" : "no"}});
+  const std::string connection = ConnectionName(this->attempt.connection);
+  std::vector<LogField> fields = {
+      {"request", this->request_id},
+      {"server", reservation.server},
+      {"outcome", std::string(outcome)},
+      {"status", std::to_string(this->attempt.status)},
+      {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
+      {"failure_percent",
+       std::to_string(static_cast<int>(reservation.failure_probability * 100))},
+      {"load", std::to_string(static_cast<int>(reservation.load))},
+      {"repeatable", this->route().is_idempotent ? "yes" : "no"},
+      {"connection", connection}};
+  if (!this->attempt.failure_reason.empty()) {
+    fields.push_back({"reason", this->attempt.failure_reason});
+  }
+  LogEvent(LogLevel::kInfo, "attempt", fields);
+  IncrementCounter(this->context.metrics,
+                   "attempts{outcome=\"" + std::string(outcome) +
+                       "\",connection=\"" + connection + "\"}");
 }
 
 }  // namespace parsleyquay
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -48,6 +48,8 @@
   curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(this->easy, CURLOPT_BUFFERSIZE, kDataBufferBytes);
   curl_easy_setopt(this->easy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, &HttpCall::OnConnection);
+  curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &HttpCall::OnHeader);
   curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &HttpCall::OnData);
@@ -155,6 +157,21 @@
   }
 }
 
+// Called by libcurl when the connection is ready, before it sends the request.
+int HttpCall::OnConnection(void* self, char*, char*, int, int) {
+  auto* call = static_cast<HttpCall*>(self);
+  long connects = 0;
+  curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+  const bool is_reused = connects == call->connects_before;
+  call->connects_before = connects;
+  if (!call->has_ended && call->handlers.on_connection) {
+    call->is_in_callback = true;
+    call->handlers.on_connection({.is_reused = is_reused});
+    call->is_in_callback = false;
+  }
+  return call->has_ended ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t HttpCall::OnHeader(char* data,
                                std::size_t,
                                std::size_t size,
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -59,7 +59,17 @@
   std::size_t size = 0;  // bytes written to the buffer
 };
 
+// A connection that is ready for a request, of which nothing is sent yet.
+struct CallConnection {
+  bool is_reused = false;  // has carried an earlier request
+
+  bool operator==(const CallConnection&) const = default;
+};
+
 struct CallHandlers {
+  // Called when the connection is ready, again if libcurl repeats the request
+  // on another one.
+  std::function<void(const CallConnection& connection)> on_connection;
   // Writes the next part of the request body to the buffer. After kNotReady, it
   // is called again once ResumeRequestBody() has been called.
   std::function<BodyChunk(char* buffer, std::size_t capacity)> read_body;
@@ -96,6 +106,7 @@
 
   void Prepare();
   void OnFinished(CURLcode code);
+  static int OnConnection(void*, char*, char*, int, int);
   static std::size_t OnHeader(char* data, std::size_t, std::size_t size, void*);
   static std::size_t OnData(char* data, std::size_t, std::size_t size, void*);
   static std::size_t OnRead(char* buffer, std::size_t, std::size_t size, void*);
@@ -106,6 +117,7 @@
   CallHandlers handlers;
   CURL* easy = nullptr;
   curl_slist* header_lines = nullptr;
+  long connects_before = 0;  // on earlier connections of this call
   HeaderList response_headers;
   int response_status = 0;
   std::size_t header_bytes = 0;
