--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -104,6 +104,7 @@
     connection.watcher->Stop();
     connection.writer.reset();
     connection.delayed_response.reset();
+    connection.late_writer.reset();
     close(descriptor);
   }
 }
@@ -203,6 +204,14 @@
     connection.writer->Start(descriptor, EV_WRITE);
     return false;
   }
+  if (!response.late_bytes.empty()) {
+    Connection& connection = this->open[descriptor];
+    connection.late_writer = std::make_unique<Timer>(
+        this->loop, [descriptor, bytes = response.late_bytes] {
+          send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        });
+    connection.late_writer->StartOnce(response.late_after);
+  }
   if (response.connection_action == ConnectionAction::kKeep) {
     return true;
   }
@@ -234,6 +243,10 @@
     node.mapped().delayed_response->Stop();
     this->stopped_timers.push_back(std::move(node.mapped().delayed_response));
   }
+  if (node.mapped().late_writer) {
+    node.mapped().late_writer->Stop();
+    this->stopped_timers.push_back(std::move(node.mapped().late_writer));
+  }
   // The watcher may be the one whose callback is running, so it is destroyed
   // later.
   this->stopped_watchers.push_back(std::move(node.mapped().watcher));
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -33,6 +33,9 @@
   std::string endless_body = "";
   // Time from the request to the response.
   Duration delay = Duration(0);
+  // Sent on the connection after `bytes` and this time, unless it has ended.
+  std::string late_bytes = "";
+  Duration late_after = Duration(0);
 };
 
 // A TCP server on loopback that responds to each request with the bytes that a
@@ -68,6 +71,7 @@
     std::string endless;
     std::unique_ptr<IoWatcher> writer;
     std::unique_ptr<Timer> delayed_response;
+    std::unique_ptr<Timer> late_writer;
   };
 
   void Accept();
