http: Accept only responses that are read in full

The status came from libcurl's lenient reading of the status line, which takes a line that it cannot parse as 200, the headers and with them the id and the signature from our own, and the end of the body from libcurl's. On a connection with a part of another response the three need not be of the same response. libcurl also reused connections with unread bytes, and after a response to another request.

Chunks are decoded here, so that the end of each body is known. A rejected response fails the attempt as broken, never as not executed. A repeated id or signature makes a response one that belongs to no request. Its connection ends after any of these, and when the kernel has received more bytes than the response has. A reused connection with unread bytes, or closed by the server, is replaced before anything is sent.

Scripted servers now send at once, since late bytes otherwise waited for the next request.

--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -61,6 +61,7 @@
     ServerReservation reservation;
     std::size_t body_bytes_sent = 0;  // of the buffered part of the body
     int status = 0;
+    bool has_received_data = false;  // of the response body
     HeaderList headers;
     // The response body, until it is complete or exceeds the buffer limit.
     std::string buffered_response;
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -163,6 +163,10 @@
     this->attempt.load = this->context.protocol.parse_load(load);
   }
   this->FindFailure();
+  // What follows on the connection may belong to another request too.
+  if (this->attempt.failure == AttemptResult::kMismatchedResponse) {
+    this->attempt.call->AbortAfterCallback();
+  }
   // A misdirected request was answered by another server at the address.
   const bool is_from_server =
       this->attempt.failure != AttemptResult::kMismatchedResponse &&
@@ -185,6 +189,9 @@
   if (HeaderValueOrEmpty(headers, protocol.request_id_header) !=
       this->request_id) {
     this->RecordFailure(AttemptResult::kMismatchedResponse, "other_request");
+  } else if (CountHeaders(headers, protocol.request_id_header) > 1 ||
+             CountHeaders(headers, protocol.response_signature_header) > 1) {
+    this->RecordFailure(AttemptResult::kMismatchedResponse, "repeated_header");
   } else if (status == kMisdirectedStatus) {
     this->RecordFailure(AttemptResult::kShed, "misdirected");
   } else if (FindHeader(headers, protocol.not_executed_header)) {
@@ -206,6 +213,7 @@
 }
 
 bool ProxiedRequest::OnData(std::string_view data) {
+  this->attempt.has_received_data = true;
   if (this->has_response_started) {
     if (!this->exchange->has_room()) {
       return false;
@@ -253,10 +261,12 @@
       return;
     case CallOutcome::kFailed:
     case CallOutcome::kTimedOut:
-      // Headers that say that the request was not executed count even if the
-      // body is incomplete.
-      this->EndAttempt(this->attempt.failure == AttemptResult::kShed
-                           ? AttemptResult::kShed
+      // Headers that say that the request was not executed, or that the
+      // response is to another one, count even if the body is incomplete.
+      this->EndAttempt(this->attempt.failure == AttemptResult::kShed ||
+                               this->attempt.failure ==
+                                   AttemptResult::kMismatchedResponse
+                           ? *this->attempt.failure
                            : AttemptResult::kBroken);
       return;
     case CallOutcome::kComplete:
@@ -421,9 +431,9 @@
 }
 
 // Called when the attempt exceeds the route's latency target. Reports the
-// server as overdue. If the request is idempotent, no response headers have
-// arrived, the retry budget allows it and another server is available, cancels
-// the attempt and sends the request to that server.
+// server as overdue. If the request is idempotent, nothing of a response body
+// has arrived, the retry budget allows it and another server is available,
+// cancels the attempt and sends the request to that server.
 void ProxiedRequest::OnOverdue() {
   if (!this->attempt.call || this->attempt.is_overdue) {
     return;
@@ -432,7 +442,7 @@
   this->dependencies.load_balancer.ReportOutcome(this->attempt.reservation,
                                                  ServerOutcome::kOverdue);
   const bool may_reassign = this->route().is_idempotent &&
-                            this->attempt.status == 0 &&
+                            !this->attempt.has_received_data &&
                             !this->context.is_leaving &&
                             this->MayTryAnotherServer(AttemptResult::kStalled);
   if (!may_reassign) {
--- /dev/null
+++ b/libraries/http/connection_state.cc
@@ -0,0 +1,36 @@
+#include "http/connection_state.h"
+
+// NOTE: the tcp_info of <netinet/tcp.h> lacks the count of received bytes.
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstddef>
+
+namespace parsleyquay {
+
+UnreadState GetUnreadState(int socket) {
+  char byte = 0;
+  const ssize_t size =
+      recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0) {
+    return UnreadState::kBytes;
+  }
+  const bool is_quiet = size < 0 && (errno == EAGAIN || errno == EINTR);
+  return is_quiet ? UnreadState::kNothing : UnreadState::kEnd;
+}
+
+std::optional<std::uint64_t> CountReceivedBytes(int socket) {
+  tcp_info info = {};
+  socklen_t size = sizeof(info);
+  constexpr std::size_t kNeeded = offsetof(tcp_info, tcpi_bytes_received) +
+                                  sizeof(info.tcpi_bytes_received);
+  const bool is_known =
+      getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+      size >= kNeeded;
+  return is_known ? std::optional<std::uint64_t>(info.tcpi_bytes_received)
+                  : std::nullopt;
+}
+
+}  // namespace parsleyquay
--- a/libraries/http/header_list.cc
+++ b/libraries/http/header_list.cc
@@ -49,6 +49,13 @@
   return found == headers.end() ? nullptr : &found->value;
 }
 
+std::size_t CountHeaders(const HeaderList& headers, std::string_view name) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(headers, [&](const Header& header) {
+        return IsSameHeaderName(header.name, name);
+      }));
+}
+
 std::string HeaderValueOrEmpty(const HeaderList& headers,
                                std::string_view name) {
   const std::string* value = FindHeader(headers, name);
--- a/libraries/http/header_list.h
+++ b/libraries/http/header_list.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_HTTP_HEADER_LIST_H_
 #define PARSLEYQUAY_HTTP_HEADER_LIST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +26,9 @@
 // none.
 const std::string* FindHeader(const HeaderList& headers, std::string_view name);
 
+// Returns how many headers have that name.
+std::size_t CountHeaders(const HeaderList& headers, std::string_view name);
+
 // Returns the value of the first header with that name, or "" if there is none.
 std::string HeaderValueOrEmpty(const HeaderList& headers,
                                std::string_view name);
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -1,5 +1,8 @@
 #include "http/http_call.h"
 
+#include <utility>
+
+#include "http/connection_state.h"
 #include "http/http_client.h"
 
 namespace parsleyquay {
@@ -12,13 +15,9 @@
 // Servers send a few hundred bytes.
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 
-// Responses with lower status codes are interim ones.
-constexpr int kFirstFinalStatus = 200;
-
-std::string_view TrimLineEnd(std::string_view line) {
-  const auto end = line.find_last_not_of("\r\n \t");
-  return end == std::string_view::npos ? "" : line.substr(0, end + 1);
-}
+constexpr int kSwitchingProtocolsStatus = 101;
+constexpr int kNoContentStatus = 204;
+constexpr int kNotModifiedStatus = 304;
 
 }  // namespace
 
@@ -50,8 +49,17 @@
   curl_easy_setopt(this->easy, CURLOPT_PRIVATE, this);
   curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, &HttpCall::OnConnection);
   curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(this->easy, CURLOPT_SOCKOPTFUNCTION,
+                   &HttpCall::OnSocketOpened);
+  curl_easy_setopt(this->easy, CURLOPT_SOCKOPTDATA, this);
+  curl_easy_setopt(this->easy, CURLOPT_CLOSESOCKETFUNCTION,
+                   &HttpClient::OnSocketClosed);
+  curl_easy_setopt(this->easy, CURLOPT_CLOSESOCKETDATA, &this->client);
   curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &HttpCall::OnHeader);
   curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
+  // Chunks are decoded here, since libcurl does not tell whether bytes followed
+  // the last one.
+  curl_easy_setopt(this->easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &HttpCall::OnData);
   curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -120,15 +128,25 @@
 }
 
 void HttpCall::DeliverHead() {
-  if (this->is_head_delivered || this->has_ended) {
-    return;
-  }
-  this->is_head_delivered = true;
   if (this->handlers.on_head) {
-    this->handlers.on_head(this->response_status, this->response_headers);
+    this->is_in_callback = true;
+    this->handlers.on_head(this->head->status, this->head->headers);
+    this->is_in_callback = false;
   }
 }
 
+// Returns whether the call is to be repeated on a fresh connection, since the
+// one that it got was unusable before it sent anything. Prepares the handle.
+bool HttpCall::PrepareFreshConnection() {
+  if (!this->is_connection_unusable || this->has_ended) {
+    return false;
+  }
+  this->is_connection_unusable = false;
+  this->connects_before = 0;
+  curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L);
+  return true;
+}
+
 void HttpCall::OnFinished(CURLcode code) {
   const auto self = this->shared_from_this();
   if (this->has_ended) {
@@ -139,13 +157,16 @@
   result.detail = curl_easy_strerror(code);
   long sent_bytes = 0;
   curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-  if (code == CURLE_OK && !this->has_received_head) {
+  if (!this->failure.empty()) {
+    result.detail = this->failure;
+  } else if (code == CURLE_OK && !this->head) {
     result.detail = "connection closed within the response headers";
+  } else if (code == CURLE_OK &&
+             this->head->framing != BodyFraming::kUntilClose &&
+             !this->HasReachedKnownEnd()) {
+    result.detail = "incomplete response body";
   } else if (code == CURLE_OK) {
     result.outcome = CallOutcome::kComplete;
-    this->has_ended = false;
-    this->DeliverHead();
-    this->has_ended = true;
   } else if (sent_bytes == 0) {
     result.outcome = CallOutcome::kNeverSent;
   } else if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -157,13 +178,36 @@
   }
 }
 
+int HttpCall::OnSocketOpened(void* self, curl_socket_t socket, curlsocktype) {
+  static_cast<HttpCall*>(self)->socket = socket;
+  return CURL_SOCKOPT_OK;
+}
+
 // Called by libcurl when the connection is ready, before it sends the request.
-int HttpCall::OnConnection(void* self, char*, char*, int, int) {
+int HttpCall::OnConnection(void* self,
+                           char* remote_ip,
+                           char*,
+                           int remote_port,
+                           int local_port) {
   auto* call = static_cast<HttpCall*>(self);
   long connects = 0;
   curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
   const bool is_reused = connects == call->connects_before;
   call->connects_before = connects;
+  curl_socket_t& socket =
+      call->client.sockets.try_emplace({remote_ip, remote_port, local_port}, -1)
+          .first->second;
+  if (!is_reused) {
+    socket = call->socket;
+  }
+  call->socket = socket;
+  // NOTE: libcurl also reuses a connection on which bytes wait to be read. They
+  // belong to no request, and would be read as the response to this one.
+  if (is_reused && GetUnreadState(socket) != UnreadState::kNothing) {
+    call->is_connection_unusable = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  call->received_before = CountReceivedBytes(socket);
   if (!call->has_ended && call->handlers.on_connection) {
     call->is_in_callback = true;
     call->handlers.on_connection({.is_reused = is_reused});
@@ -172,41 +216,103 @@
   return call->has_ended ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+// Called by libcurl with each line of a head, and of a trailer.
 std::size_t HttpCall::OnHeader(char* data,
                                std::size_t,
                                std::size_t size,
                                void* self) {
   auto* call = static_cast<HttpCall*>(self);
   call->header_bytes += size;
-  if (call->header_bytes > kMaxHeaderBytes) {
+  if (call->has_ended || call->header_bytes > kMaxHeaderBytes) {
     return 0;
   }
-  if (call->has_received_head) {
+  if (call->head) {
     return size;  // A trailer of a chunked body is not forwarded.
   }
-  const std::string_view line = TrimLineEnd({data, size});
-  if (line.empty()) {
-    // NOTE: libcurl reports success if the server closes the connection within
-    // the headers, so the end of the headers is detected here.
-    call->has_received_head = call->response_status >= kFirstFinalStatus;
-    return size;
-  }
-  if (line.starts_with("HTTP/")) {
-    call->response_headers.clear();
-    long status = 0;
-    curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-    call->response_status = static_cast<int>(status);
-    return size;
-  }
-  const auto colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    const auto value = line.find_first_not_of(" \t", colon + 1);
-    call->response_headers.push_back({std::string(line.substr(0, colon)),
-                                      value == std::string_view::npos
-                                          ? ""
-                                          : std::string(line.substr(value))});
+  call->head_bytes.append(data, size);
+  // NOTE: libcurl takes any line that begins so as the end of the headers.
+  const bool is_end = size > 0 && (data[0] == '\r' || data[0] == '\n');
+  return !is_end || call->OnHeadEnd() ? size : 0;
+}
+
+// Returns why the head is rejected, or "".
+std::string_view HttpCall::FindHeadError(
+    const ParsedResponseHead& parsed) const {
+  if (!parsed.head) {
+    return parsed.error;
   }
-  return size;
+  // libcurl decides by its own reading of the head where the body ends.
+  long status = 0;
+  curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (parsed.head->status != status) {
+    return "ambiguous status line";
+  }
+  return status == kSwitchingProtocolsStatus ? "unexpected protocol switch"
+                                             : "";
+}
+
+// Evaluates a complete head. Returns whether the call goes on.
+bool HttpCall::OnHeadEnd() {
+  ParsedResponseHead parsed =
+      ParseResponseHead(std::exchange(this->head_bytes, {}));
+  this->failure = this->FindHeadError(parsed);
+  if (!this->failure.empty()) {
+    return false;
+  }
+  if (parsed.head->status < kFirstFinalStatus) {
+    return true;
+  }
+  this->head = std::move(parsed.head);
+  this->CheckForExcess();
+  this->DeliverHead();
+  return !this->has_ended && !this->is_abort_requested;
+}
+
+// Returns whether the response has ended, as far as its head tells.
+bool HttpCall::HasReachedKnownEnd() const {
+  const bool has_no_body = this->request.method == "HEAD" ||
+                           this->head->status == kNoContentStatus ||
+                           this->head->status == kNotModifiedStatus;
+  if (has_no_body) {
+    return true;
+  }
+  switch (this->head->framing) {
+    case BodyFraming::kUntilClose:
+      return false;
+    case BodyFraming::kLength:
+      return this->body_bytes == this->head->body_length;
+    case BodyFraming::kChunked:
+      return this->chunked_body.is_complete();
+  }
+  return false;
+}
+
+// Prevents the reuse of the connection if bytes came after the end of the
+// response.
+// NOTE: libcurl drops such bytes if it has read them together with the end of a
+// response without a body or with a chunked one.
+void HttpCall::CheckForExcess() {
+  if (!this->HasReachedKnownEnd()) {
+    return;
+  }
+  const auto received = CountReceivedBytes(this->socket);
+  const bool is_clean = received && this->received_before &&
+                        *received == *this->received_before +
+                                         this->header_bytes + this->body_bytes;
+  if (!is_clean) {
+    curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+// Offers decoded data to the handler. Returns whether it was accepted.
+bool HttpCall::OfferData(std::string_view data) {
+  if (data.empty() || !this->handlers.on_data) {
+    return true;
+  }
+  this->is_in_callback = true;
+  const bool is_accepted = this->handlers.on_data(data);
+  this->is_in_callback = false;
+  return is_accepted;
 }
 
 std::size_t HttpCall::OnData(char* data,
@@ -214,21 +320,34 @@
                              std::size_t size,
                              void* self) {
   auto* call = static_cast<HttpCall*>(self);
-  if (call->has_ended) {
+  if (call->has_ended || !call->head) {
     return 0;
   }
-  call->is_in_callback = true;
-  call->DeliverHead();
-  bool is_accepted = true;
-  if (!call->has_ended && call->handlers.on_data) {
-    is_accepted = call->handlers.on_data({data, size});
+  ChunkedBody chunked_body = call->chunked_body;
+  std::size_t consumed = size;
+  bool is_accepted = false;
+  if (call->head->framing == BodyFraming::kChunked) {
+    const DecodedChunks decoded = DecodeChunks(chunked_body, {data, size});
+    consumed = decoded.consumed;
+    is_accepted = call->OfferData(decoded.data);
+  } else {
+    is_accepted = call->OfferData({data, size});
   }
-  call->is_in_callback = false;
   if (call->has_ended || call->is_abort_requested) {
     return 0;
   }
   call->is_response_body_paused = !is_accepted;
-  return is_accepted ? size : CURL_WRITEFUNC_PAUSE;
+  if (!is_accepted) {
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  call->chunked_body = chunked_body;
+  call->body_bytes += consumed;
+  if (chunked_body.is_malformed()) {
+    call->failure = "malformed chunked response body";
+    return 0;
+  }
+  call->CheckForExcess();
+  return size;
 }
 
 std::size_t HttpCall::OnRead(char* buffer,
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -11,7 +11,9 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "http/chunked_body.h"
 #include "http/header_list.h"
+#include "http/response_head.h"
 
 namespace parsleyquay {
 
@@ -92,7 +94,8 @@
   void Cancel();
 
   // Ends the call with kFailed when the current `on_head` or `on_data` handler
-  // returns. For a response that is not wanted and whose length is unknown.
+  // returns, and closes its connection. For a response that is not wanted and
+  // whose length is unknown, or that belongs to another request.
   void AbortAfterCallback() { this->is_abort_requested = true; }
 
   // Continues a request body whose `read_body` returned kNotReady.
@@ -106,23 +109,35 @@
 
   void Prepare();
   void OnFinished(CURLcode code);
+  static int OnSocketOpened(void*, curl_socket_t socket, curlsocktype);
   static int OnConnection(void*, char*, char*, int, int);
   static std::size_t OnHeader(char* data, std::size_t, std::size_t size, void*);
   static std::size_t OnData(char* data, std::size_t, std::size_t size, void*);
   static std::size_t OnRead(char* buffer, std::size_t, std::size_t size, void*);
   void DeliverHead();
+  bool OnHeadEnd();
+  std::string_view FindHeadError(const ParsedResponseHead& parsed) const;
+  void CheckForExcess();
+  bool HasReachedKnownEnd() const;
+  bool OfferData(std::string_view data);
+  bool PrepareFreshConnection();
 
   HttpClient& client;
   CallRequest request;
   CallHandlers handlers;
   CURL* easy = nullptr;
   curl_slist* header_lines = nullptr;
-  long connects_before = 0;  // on earlier connections of this call
-  HeaderList response_headers;
-  int response_status = 0;
-  std::size_t header_bytes = 0;
-  bool has_received_head = false;  // of the final response
-  bool is_head_delivered = false;
+  long connects_before = 0;             // on earlier connections of this call
+  bool is_connection_unusable = false;  // and nothing was sent on it
+  int socket = -1;  // opened for this call, or of the connection in use
+  // Bytes that were received on the connection before this call used it.
+  std::optional<std::uint64_t> received_before;
+  std::string head_bytes;  // of the current response, interim or final
+  std::optional<ResponseHead> head;  // of the final response
+  std::size_t header_bytes = 0;      // of all heads and trailers
+  std::uint64_t body_bytes = 0;      // accepted by the handler, undecoded
+  ChunkedBody chunked_body;          // if the response has one
+  std::string_view failure;  // why the response was rejected; a string literal
   bool has_ended = false;
   bool is_abort_requested = false;
   bool is_in_callback = false;
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -1,5 +1,7 @@
 #include "http/http_client.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstring>
 
@@ -42,9 +44,13 @@
                                             CallHandlers handlers) {
   const auto call = std::make_shared<HttpCall>(*this, std::move(request),
                                                std::move(handlers));
+  this->Add(call);
+  return call;
+}
+
+void HttpClient::Add(const std::shared_ptr<HttpCall>& call) {
   this->calls.emplace(call.get(), call);
   curl_multi_add_handle(this->multi, call->easy);
-  return call;
 }
 
 std::shared_ptr<HttpCall> HttpClient::Fetch(
@@ -112,10 +118,21 @@
     }
     const std::shared_ptr<HttpCall> call = found->second;
     this->Remove(*call);
-    call->OnFinished(code);
+    if (call->PrepareFreshConnection()) {
+      this->Add(call);
+    } else {
+      call->OnFinished(code);
+    }
   }
 }
 
+int HttpClient::OnSocketClosed(void* self, curl_socket_t socket) {
+  auto* client = static_cast<HttpClient*>(self);
+  std::erase_if(client->sockets,
+                [socket](const auto& entry) { return entry.second == socket; });
+  return close(socket);
+}
+
 int HttpClient::OnSocket(CURL*,
                          curl_socket_t socket,
                          int what,
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -29,6 +29,15 @@
   }
 };
 
+// Identifies an open connection.
+struct ConnectionKey {
+  std::string remote_ip;
+  int remote_port = 0;
+  int local_port = 0;
+
+  auto operator<=>(const ConnectionKey&) const = default;
+};
+
 // An HTTP/1.1 client, built on a libcurl multi handle that is driven by the
 // owner's event loop.
 class HttpClient {
@@ -55,9 +64,11 @@
  private:
   friend class HttpCall;
 
+  void Add(const std::shared_ptr<HttpCall>& call);
   void Remove(HttpCall& call);
   void ProcessEvents(curl_socket_t socket, int events);
   void CollectFinished();
+  static int OnSocketClosed(void* self, curl_socket_t socket);
   static int OnSocket(CURL*, curl_socket_t, int what, void* self, void*);
   static int OnTimer(CURLM*, long timeout_ms, void* self);
 
@@ -67,6 +78,9 @@
   std::map<curl_socket_t, std::unique_ptr<IoWatcher>> watchers;
   std::vector<std::unique_ptr<IoWatcher>> retired_watchers;
   std::map<HttpCall*, std::shared_ptr<HttpCall>> calls;
+  // NOTE: libcurl tells the socket of a connection only to the call that opened
+  // it.
+  std::map<ConnectionKey, curl_socket_t> sockets;
 };
 
 }  // namespace parsleyquay
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -1,6 +1,7 @@
 #include "support/scripted_server.h"
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -115,6 +116,9 @@
   if (descriptor < 0) {
     return;
   }
+  // Late bytes would otherwise wait until the client sends something.
+  const int no_delay = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof(no_delay));
   ++this->accepted;
   Connection& connection = this->open[descriptor];
   connection.watcher = std::make_unique<IoWatcher>(
