gateway: Check again that a server may be used when its connection is ready

A server's leaving counted only when it was chosen. A request that then waited for a connection, up to 0.2 s, reached the server later.

The call now asks its owner when the connection is ready and nothing is sent. A request whose server has begun to leave, vanished or restarted goes to another one. It counts neither as a retry nor against the server.

--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -84,11 +84,21 @@
       .server = server,
       .service = criteria.service,
       .address = entry.listing.address,
+      .incarnation = entry.listing.incarnation,
       .acquired_at = now,
       .failure_probability = candidates[*chosen].failure_probability,
       .load = candidates[*chosen].load};
 }
 
+bool LoadBalancer::MayReceive(const ServerReservation& reservation) const {
+  const ServerRoster& roster = this->discovery.roster();
+  const auto found = roster.servers.find(reservation.server);
+  return found != roster.servers.end() &&
+         found->second.listing.address == reservation.address &&
+         found->second.listing.incarnation == reservation.incarnation &&
+         MayReceiveRequests(roster, found->second);
+}
+
 std::optional<std::size_t> LoadBalancer::Choose(
     const std::vector<PlacementCandidate>& candidates,
     const PlacementRequest& request,
--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_GATEWAY_LOAD_BALANCER_H_
 #define PARSLEYQUAY_GATEWAY_LOAD_BALANCER_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -25,6 +26,7 @@
   std::string server;
   std::string service;
   std::string address;
+  std::uint64_t incarnation = 0;  // of the server
   TimePoint acquired_at;
   // The estimates on which the choice was based.
   double failure_probability = 0;
@@ -61,6 +63,10 @@
   std::optional<ServerReservation> Acquire(
       const ServerSelectionCriteria& criteria);
 
+  // Returns whether a request may still be sent to the reserved server: it has
+  // not left, begun to leave or restarted since.
+  bool MayReceive(const ServerReservation& reservation) const;
+
   // Ends a reservation. `outcome` is unset if the attempt says nothing about
   // the server; `load` is unset if the server reported none.
   void Release(const ServerReservation& reservation,
--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -70,7 +70,8 @@
     std::optional<AttemptResult> failure;      // found in the response headers
     std::string failure_reason;                // why a response was discarded
     std::optional<CallConnection> connection;  // unset: none was ready
-    bool is_overdue = false;  // no response within the route's latency target
+    bool is_withdrawn = false;  // the server left before anything was sent
+    bool is_overdue = false;    // no response within the route's latency target
     std::optional<ReportedLoad> load;
   };
 
@@ -87,7 +88,7 @@
   void Send(ServerReservation reservation);
   CallRequest MakeCall() const;
   BodyChunk ReadBody(char* buffer, std::size_t capacity);
-  void OnConnection(const CallConnection& connection);
+  bool MaySend(const CallConnection& connection);
   void OnHead(int status, const HeaderList& headers);
   void FindFailure();
   void RecordFailure(AttemptResult failure, std::string_view reason);
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -102,7 +102,7 @@
               this->dependencies.retry_limit());
   }
   CallHandlers handlers = BindCallHandlers<ProxiedRequest>(
-      this->weak_from_this(), {.on_connection = &ProxiedRequest::OnConnection,
+      this->weak_from_this(), {.may_send = &ProxiedRequest::MaySend,
                                .read_body = &ProxiedRequest::ReadBody,
                                .on_head = &ProxiedRequest::OnHead,
                                .on_data = &ProxiedRequest::OnData,
@@ -150,8 +150,16 @@
                          capacity);
 }
 
-void ProxiedRequest::OnConnection(const CallConnection& connection) {
+// Called when the connection is ready. The server may have begun to leave since
+// it was chosen.
+bool ProxiedRequest::MaySend(const CallConnection& connection) {
   this->attempt.connection = connection;
+  this->attempt.is_withdrawn =
+      !this->dependencies.load_balancer.MayReceive(this->attempt.reservation);
+  if (this->attempt.is_withdrawn) {
+    this->attempt.failure_reason = "server_left";
+  }
+  return !this->attempt.is_withdrawn;
 }
 
 void ProxiedRequest::OnHead(int status, const HeaderList& headers) {
@@ -318,7 +326,9 @@
     case AttemptResult::kShed:
       return ServerOutcome::kShed;
     case AttemptResult::kNeverSent:
-      return ServerOutcome::kUnreachable;
+      return this->attempt.is_withdrawn
+                 ? std::nullopt
+                 : std::optional(ServerOutcome::kUnreachable);
     case AttemptResult::kBroken:
     case AttemptResult::kMismatchedResponse:
       return ServerOutcome::kBroken;
--- a/libraries/http/bind_call_handlers.h
+++ b/libraries/http/bind_call_handlers.h
@@ -12,7 +12,7 @@
 // The methods of an object that handle the events of an HttpCall.
 template <typename Owner>
 struct CallMethods {
-  void (Owner::*on_connection)(const CallConnection& connection) = nullptr;
+  bool (Owner::*may_send)(const CallConnection& connection) = nullptr;
   BodyChunk (Owner::*read_body)(char* buffer, std::size_t capacity);
   void (Owner::*on_head)(int status, const HeaderList& headers);
   bool (Owner::*on_data)(std::string_view data);
@@ -26,11 +26,10 @@
 CallHandlers BindCallHandlers(std::weak_ptr<Owner> weak,
                               CallMethods<Owner> methods) {
   CallHandlers handlers;
-  if (methods.on_connection) {
-    handlers.on_connection = [weak, methods](const CallConnection& connection) {
-      if (const auto owner = weak.lock()) {
-        (owner.get()->*methods.on_connection)(connection);
-      }
+  if (methods.may_send) {
+    handlers.may_send = [weak, methods](const CallConnection& connection) {
+      const auto owner = weak.lock();
+      return owner && (owner.get()->*methods.may_send)(connection);
     };
   }
   handlers.read_body = [weak, methods](char* buffer, std::size_t capacity) {
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -208,12 +208,14 @@
     return CURL_PREREQFUNC_ABORT;
   }
   call->received_before = CountReceivedBytes(socket);
-  if (!call->has_ended && call->handlers.on_connection) {
-    call->is_in_callback = true;
-    call->handlers.on_connection({.is_reused = is_reused});
-    call->is_in_callback = false;
+  if (call->has_ended || !call->handlers.may_send) {
+    return call->has_ended ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
   }
-  return call->has_ended ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  call->is_in_callback = true;
+  const bool may_send = call->handlers.may_send({.is_reused = is_reused});
+  call->is_in_callback = false;
+  return may_send && !call->has_ended ? CURL_PREREQFUNC_OK
+                                      : CURL_PREREQFUNC_ABORT;
 }
 
 // Called by libcurl with each line of a head, and of a trailer.
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -69,9 +69,9 @@
 };
 
 struct CallHandlers {
-  // Called when the connection is ready, again if libcurl repeats the request
-  // on another one.
-  std::function<void(const CallConnection& connection)> on_connection;
+  // Called when the connection is ready. Returns whether the request may still
+  // be sent. Otherwise the call ends with kNeverSent.
+  std::function<bool(const CallConnection& connection)> may_send;
   // Writes the next part of the request body to the buffer. After kNotReady, it
   // is called again once ResumeRequestBody() has been called.
   std::function<BodyChunk(char* buffer, std::size_t capacity)> read_body;
