http: Never repeat a request on its own

libcurl repeats a request on a new connection if a reused one breaks before the response, up to five times and without our retry budget. The log showed one attempt.

The call now ends when libcurl is about to send a second time, as failed, and the owner decides. An idempotent request goes to another server, within the retry budget. A connection that the server closed while it was idle is found out before anything is sent, so that only one that closes while the request is on its way fails an attempt.

Test: 'a request on a reused connection that breaks runs once' failed before (200 instead of 502, two requests received) and passes, as do gateway_proxying, foreign_bytes and store_faults.

--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -142,7 +142,6 @@
     return false;
   }
   this->is_connection_unusable = false;
-  this->connects_before = 0;
   curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L);
   return true;
 }
@@ -190,10 +189,15 @@
                            int remote_port,
                            int local_port) {
   auto* call = static_cast<HttpCall*>(self);
+  // NOTE: libcurl repeats a request on its own if a reused connection breaks
+  // before the response. Whether it may run twice is for the owner to decide.
+  if (call->has_sent) {
+    call->failure = "reused connection closed before the response";
+    return CURL_PREREQFUNC_ABORT;
+  }
   long connects = 0;
   curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
-  const bool is_reused = connects == call->connects_before;
-  call->connects_before = connects;
+  const bool is_reused = connects == 0;
   curl_socket_t& socket =
       call->client.sockets.try_emplace({remote_ip, remote_port, local_port}, -1)
           .first->second;
@@ -208,14 +212,14 @@
     return CURL_PREREQFUNC_ABORT;
   }
   call->received_before = CountReceivedBytes(socket);
-  if (call->has_ended || !call->handlers.may_send) {
-    return call->has_ended ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
-  }
-  call->is_in_callback = true;
-  const bool may_send = call->handlers.may_send({.is_reused = is_reused});
-  call->is_in_callback = false;
-  return may_send && !call->has_ended ? CURL_PREREQFUNC_OK
-                                      : CURL_PREREQFUNC_ABORT;
+  bool may_send = !call->has_ended;
+  if (may_send && call->handlers.may_send) {
+    call->is_in_callback = true;
+    may_send = call->handlers.may_send({.is_reused = is_reused});
+    call->is_in_callback = false;
+  }
+  call->has_sent = may_send && !call->has_ended;
+  return call->has_sent ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
 // Called by libcurl with each line of a head, and of a trailer.
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -21,8 +21,6 @@
 
 enum class ConnectionUse {
   kReusable,  // the call may use an idle keep-alive connection
-  // NOTE: libcurl repeats a request on its own if a reused connection breaks
-  // before the response. Only a fresh connection rules that out.
   kFresh,
 };
 
@@ -127,7 +125,7 @@
   CallHandlers handlers;
   CURL* easy = nullptr;
   curl_slist* header_lines = nullptr;
-  long connects_before = 0;             // on earlier connections of this call
+  bool has_sent = false;                // may have sent a part of the request
   bool is_connection_unusable = false;  // and nothing was sent on it
   int socket = -1;  // opened for this call, or of the connection in use
   // Bytes that were received on the connection before this call used it.
--- a/tests/gateway/sending_test.cc
+++ b/tests/gateway/sending_test.cc
@@ -60,5 +60,35 @@
   CHECK_FALSE(fixture.connection.is_reused);
 }
 
+// Reads the request and closes the connection without a response.
+RawResponse Vanish(const RawRequest&) {
+  return RawResponse{"", ConnectionAction::kClose};
+}
+
+// Guards against a request that runs twice at one server under one id: the
+// server then records a failure, and the client gets a success.
+TEST_CASE("a request on a reused connection that breaks runs once") {
+  const ConnectionAction action =
+      GENERATE(ConnectionAction::kClose, ConnectionAction::kReset);
+  OneServer fixture(Good());
+  REQUIRE(fixture.Send("GET", "/safe/1").status == 200);
+  int received = 0;
+  fixture.server.SetScript([&](const RawRequest& request) {
+    return ++received == 1 ? RawResponse{"", action} : Good()(request);
+  });
+  CHECK(fixture.Send("GET", "/safe/1").status == 502);
+  CHECK(received == 1);
+}
+
+TEST_CASE(
+    "a request whose reused connection breaks is sent to another server") {
+  TwoServers fixture(Good("first"));
+  REQUIRE(fixture.SendUntilBad("GET", "/safe/1").status == 200);
+  fixture.bad.SetScript(Vanish);
+  const BufferedResponse response = fixture.SendUntilBad("GET", "/safe/1");
+  CHECK(response.status == 200);
+  CHECK(response.body == "fine");
+}
+
 }  // namespace
 }  // namespace parsleyquay
