tests: Check that the store's responses are read in full

Reads of the store go through the same calls as requests. A response with two heads in one, a malformed status line or bytes after its end is not taken, or ends its connection.

--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -7,6 +7,8 @@
 
 #include "coordination/change_feed_reader.h"
 #include "platform/platform_coordination_store.h"
+#include "support/await.h"
+#include "support/scripted_server.h"
 #include "support/store_stand_in.h"
 
 namespace parsleyquay {
@@ -308,5 +310,61 @@
   CHECK(read().empty());
 }
 
+// Reads pages of records from a store whose responses a test writes.
+struct ScriptedStore {
+  std::optional<platform::LatestRecordsPage> Read(const std::string& bytes) {
+    this->response = bytes;
+    std::optional<platform::LatestRecordsPage> page;
+    bool is_done = false;
+    this->store.ReadLatestRecords(
+        "keyed.op", "", {.timeout = milliseconds(500)},
+        [&](std::optional<platform::LatestRecordsPage> read) {
+          page = std::move(read);
+          is_done = true;
+        });
+    REQUIRE(RunLoopUntil(
+        this->loop, [&] { return is_done; }, seconds(2)));
+    return page;
+  }
+
+  EventLoop loop;
+  HttpClient http{loop};
+  std::string response;
+  ScriptedServer server{
+      loop, [this](const RawRequest&) { return RawResponse{this->response}; }};
+  platform::StoreClient store{http, server.address()};
+};
+
+std::string PageResponse(const std::string& status_line, int end) {
+  const std::string body = R"({"items":[],"end":)" + std::to_string(end) + "}";
+  return status_line + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+// Guards against a page that the store has not sent: a refusal that is taken as
+// a success, and the rest of an earlier response.
+TEST_CASE("a response of the store that is not read in full does not count") {
+  const std::string proper = PageResponse("HTTP/1.1 200 OK", 7);
+  ScriptedStore fixture;
+  REQUIRE(fixture.Read(proper));
+  REQUIRE(fixture.Read(proper)->end_offset == 7);
+  REQUIRE(fixture.server.connections() == 1);
+  SECTION("two heads run together") {
+    CHECK_FALSE(fixture.Read(
+        PageResponse("HTTP/1.1 200 OKHTTP/1.1 503 Service Unavailable", 9)));
+  }
+  SECTION("a malformed status line") {
+    CHECK_FALSE(fixture.Read(PageResponse("HTTP/HTTP/1.1 503 Busy", 9)));
+  }
+  SECTION("bytes after the end") {
+    CHECK(
+        fixture.Read(proper + PageResponse("HTTP/1.1 200 OK", 9))->end_offset ==
+        7);
+  }
+  REQUIRE(fixture.Read(proper));
+  CHECK(fixture.Read(proper)->end_offset == 7);
+  CHECK(fixture.server.connections() == 2);
+}
+
 }  // namespace
 }  // namespace parsleyquay
