gateway: Log how old the list of servers was when a change was applied

A server_list line now names where the change came from and how long ago the list was last known to be complete, and a lapsed one how much longer the server is used. New lines state when an instance begins to read the list or stops, when its first read as a reader ended, and when a digest did not follow on what it knows. New metrics: server_list_reads_failed and server_list_age_ms.

--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -40,6 +40,9 @@
         on_changes;
     // Called when the feed becomes unavailable, and when it is available again.
     std::function<void(bool is_available)> on_availability;
+    // Called after a successful read and the delivery of its changes, with the
+    // time when the read was sent.
+    std::function<void(TimePoint sent_at)> on_read;
   };
 
   ChangeFeedReader(EventLoop& loop,
@@ -132,11 +135,8 @@
   }
 
   bool is_available() const { return this->failures == 0; }
-  // Returns when the last successful read was sent, or std::nullopt if there
-  // was none.
-  std::optional<TimePoint> last_read_sent_at() const {
-    return this->newest_read_sent_at;
-  }
+  // Returns how many reads have failed since the start.
+  std::uint64_t failed_reads() const { return this->all_failures; }
 
  private:
   // The delay after a failed read. It is short at first because most outages
@@ -215,19 +215,21 @@
       this->Read({.timeout = this->schedule.timeout});
       return;
     }
-    this->newest_read_sent_at = sent_at;
     this->timer.StartOnce(this->schedule.interval);
     // A peer may have told of newer changes meanwhile.
-    if (this->next_position.value_or(0) > read.next_position) {
-      return;
+    if (this->next_position.value_or(0) <= read.next_position) {
+      this->next_position = read.next_position;
+      this->has_expired = false;
+      this->Deliver(std::move(read.changes), kind);
+    }
+    if (this->handlers.on_read) {
+      this->handlers.on_read(sent_at);
     }
-    this->next_position = read.next_position;
-    this->has_expired = false;
-    this->Deliver(std::move(read.changes), kind);
   }
 
   void OnUnavailable(const std::string& detail) {
     ++this->failures;
+    ++this->all_failures;
     if (this->failures == 1) {
       LogEvent(LogLevel::kWarning, "feed_lost",
                {{"feed", this->name}, {"detail", detail}});
@@ -266,8 +268,8 @@
   bool is_waiting = false;  // whether the current read waits for a change
   std::optional<std::uint64_t> next_position;
   bool has_expired = false;  // changes at `next_position` are not retained
-  std::optional<TimePoint> newest_read_sent_at;
   int failures = 0;  // since the last successful read
+  std::uint64_t all_failures = 0;
 };
 
 }  // namespace parsleyquay
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -228,6 +228,12 @@
                    CountAlive(this->context.members, this->context.Now()));
   IncrementCounter(metrics, "servers_listed",
                    this->server_discovery.roster().servers.size());
+  IncrementCounter(metrics, "server_list_reads_failed",
+                   this->server_discovery.failed_reads());
+  if (const auto age = this->server_discovery.ListAge()) {
+    IncrementCounter(metrics, "server_list_age_ms",
+                     static_cast<std::uint64_t>(ToMilliseconds(*age)));
+  }
   IncrementCounter(metrics, "log_lines_dropped", DroppedLogLines());
   if (this->context.peer_transport) {
     const PeerTrafficCounters& traffic =
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -50,12 +50,35 @@
                    StartLapseGracePeriod(this->server_roster,
                                          this->context.Now());
                  }
-               }}),
+               },
+           .on_read = [this](TimePoint sent_at) { this->OnRead(sent_at); }}),
       removal_timer(context.loop, [this] { this->OnRemovalTimer(); }) {}
 
-void ServerDiscovery::SetSource(ServerListSource source) {
-  this->feed_reader.SetReadSchedule(
-      source == ServerListSource::kStore ? kStoreSchedule : kPeersSchedule);
+void ServerDiscovery::SetSource(ServerListSource new_source) {
+  const bool reads_store = new_source == ServerListSource::kStore;
+  if (new_source != this->source) {
+    this->source = new_source;
+    this->became_reader_at =
+        reads_store ? std::optional(this->context.Now()) : std::nullopt;
+    LogEvent(LogLevel::kInfo, "server_list_source",
+             {{"source", reads_store ? "store" : "peers"},
+              {"list_age_ms", this->ListAgeText()},
+              {"store_available", this->is_available() ? "yes" : "no"}});
+  }
+  this->feed_reader.SetReadSchedule(reads_store ? kStoreSchedule
+                                                : kPeersSchedule);
+}
+
+std::optional<Duration> ServerDiscovery::ListAge() const {
+  if (!this->list_known_at) {
+    return std::nullopt;
+  }
+  return this->context.Now() - *this->list_known_at;
+}
+
+std::string ServerDiscovery::ListAgeText() const {
+  const auto age = this->ListAge();
+  return age ? std::to_string(ToMilliseconds(*age)) : "-";
 }
 
 void ServerDiscovery::SetWithdrawnDomains(
@@ -81,15 +104,30 @@
   if (is_known) {
     return;
   }
+  this->digest_sender = digest.sender;
   if (digest.has_full_server_list) {
     this->feed_reader.ApplyPeerSnapshot(digest.servers_to,
                                         digest.server_changes);
-    return;
-  }
-  if (!this->feed_reader.ApplyPeerChanges(
-          digest.servers_from, digest.servers_to, digest.server_changes)) {
+  } else if (!this->feed_reader.ApplyPeerChanges(digest.servers_from,
+                                                 digest.servers_to,
+                                                 digest.server_changes)) {
+    this->LogGap(digest);
     this->feed_reader.ReadNow();
   }
+  this->digest_sender.clear();
+}
+
+void ServerDiscovery::LogGap(const Digest& digest) {
+  if (std::exchange(this->logged_gap, digest.servers_to) == digest.servers_to) {
+    return;
+  }
+  LogEvent(
+      LogLevel::kInfo, "server_list_gap",
+      {{"peer", digest.sender},
+       {"position", std::to_string(this->feed_reader.position().value_or(0))},
+       {"told_position", std::to_string(digest.servers_to)},
+       {"list_age_ms", this->ListAgeText()},
+       {"store_available", this->is_available() ? "yes" : "no"}});
 }
 
 void ServerDiscovery::AddChangesToDigest(Digest& digest) {
@@ -132,19 +170,41 @@
   this->GroupByService();
 }
 
+void ServerDiscovery::OnRead(TimePoint sent_at) {
+  this->list_known_at = sent_at;
+  if (this->became_reader_at) {
+    const Duration passed = this->context.Now() - *this->became_reader_at;
+    this->became_reader_at.reset();
+    LogEvent(LogLevel::kInfo, "server_list_read",
+             {{"after_ms", std::to_string(ToMilliseconds(passed))}});
+  }
+}
+
+void ServerDiscovery::LogChange(const ServerChange& change,
+                                RosterEvent event) const {
+  std::vector<LogField> fields = {
+      {"server", change.server},
+      {"change", std::string(RosterEventName(event))},
+      {"service", change.listing ? change.listing->service : "-"},
+      {"address", change.listing ? change.listing->address : "-"},
+      {"position", std::to_string(this->feed_reader.position().value_or(0))},
+      {"source", this->digest_sender.empty() ? "store" : this->digest_sender},
+      {"list_age_ms", this->ListAgeText()}};
+  if (event == RosterEvent::kLapsed) {
+    const Duration kept =
+        this->server_roster.lapse_grace_until - this->context.Now();
+    fields.push_back({"kept_ms", std::to_string(ToMilliseconds(kept))});
+  }
+  LogEvent(LogLevel::kInfo, "server_list", fields);
+}
+
 void ServerDiscovery::Apply(const ServerChange& change) {
   const TimePoint now = this->context.Now();
   const RosterEvent event = ApplyServerChange(this->server_roster, change, now);
   if (event == RosterEvent::kNone) {
     return;
   }
-  LogEvent(
-      LogLevel::kInfo, "server_list",
-      {{"server", change.server},
-       {"change", std::string(RosterEventName(event))},
-       {"service", change.listing ? change.listing->service : "-"},
-       {"address", change.listing ? change.listing->address : "-"},
-       {"position", std::to_string(this->feed_reader.position().value_or(0))}});
+  this->LogChange(change, event);
   if (event == RosterEvent::kStale) {
     return;
   }
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -56,6 +56,15 @@
   // Whether the newest read of the store succeeded.
   bool is_available() const { return this->feed_reader.is_available(); }
 
+  // Returns how many reads of the store have failed since the start.
+  std::uint64_t failed_reads() const {
+    return this->feed_reader.failed_reads();
+  }
+
+  // Returns how long ago the list was last known to be complete, or
+  // std::nullopt if it never was.
+  std::optional<Duration> ListAge() const;
+
   // Whether the whole list has been read once.
   bool has_been_loaded() const {
     return this->feed_reader.position().has_value();
@@ -68,7 +77,11 @@
 
  private:
   void OnChanges(std::vector<ServerChange> changes, ChangeSetKind kind);
+  void OnRead(TimePoint sent_at);
   void Apply(const ServerChange& change);
+  void LogChange(const ServerChange& change, RosterEvent event) const;
+  void LogGap(const Digest& digest);
+  std::string ListAgeText() const;
   void OnRemovalTimer();
   void ScheduleRemoval();
   void GroupByService();
@@ -83,6 +96,14 @@
   // std::nullopt if the next digest has to contain the full list.
   std::optional<std::uint64_t> sent_position;
   std::vector<ServerChange> unsent_changes;  // since `sent_position`
+  ServerListSource source = ServerListSource::kStore;
+  // Set from a change of the source to the store until its first read ends.
+  std::optional<TimePoint> became_reader_at;
+  // The peer whose digest is being applied, or empty.
+  std::string digest_sender;
+  std::uint64_t logged_gap = 0;  // the position up to which changes are missing
+  // The list contains all changes before this time.
+  std::optional<TimePoint> list_known_at;
 };
 
 }  // namespace parsleyquay
