coordination: Keep the due time of a read when its schedule changes

Each change of the schedule started a whole new interval. So - an instance that took over the reading of the list waited 0.7 s first, though its last read was up to 40 s old, - an instance that had just started and read each 0.9 s had up to 1.6 s between two reads, when its role became known, - an instance whose role changed just after a failed read postponed the retry from 0.15 s to up to 40 s, and ignored gaps in its list until then, since it counted as retrying.

The next read is now due one interval after the last one, and at once if that is past. The retry of a failed read keeps its time.

--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -68,18 +68,23 @@
     this->CancelCurrent();
   }
 
-  // Takes effect at once. A read that waits for a change is replaced if the new
-  // schedule has a shorter wait.
+  // Takes effect at once: the next read is due one interval after the last one
+  // ended, so it is sent now if that is past. The retry of a failed read is not
+  // postponed. A read that waits for a change is replaced if the new schedule
+  // has a shorter wait.
   void SetReadSchedule(FeedReadSchedule new_schedule) {
     if (new_schedule == this->schedule) {
       return;
     }
     const bool has_shorter_wait = new_schedule.wait < this->schedule.wait;
     this->schedule = new_schedule;
-    if (!this->cancel_current_read) {
-      this->timer.StartOnce(this->schedule.interval);
-    } else if (this->is_waiting && has_shorter_wait) {
-      this->ReadNow();
+    if (this->cancel_current_read) {
+      if (this->is_waiting && has_shorter_wait) {
+        this->ReadNow();
+      }
+    } else if (this->last_read_ended_at && this->failures == 0) {
+      const TimePoint due = *this->last_read_ended_at + this->schedule.interval;
+      this->timer.StartOnce(std::max(Duration(0), due - this->loop.Now()));
     }
   }
 
@@ -215,6 +220,7 @@
       this->Read({.timeout = this->schedule.timeout});
       return;
     }
+    this->last_read_ended_at = this->loop.Now();
     this->timer.StartOnce(this->schedule.interval);
     // A peer may have told of newer changes meanwhile.
     if (this->next_position.value_or(0) <= read.next_position) {
@@ -268,6 +274,7 @@
   bool is_waiting = false;  // whether the current read waits for a change
   std::optional<std::uint64_t> next_position;
   bool has_expired = false;  // changes at `next_position` are not retained
+  std::optional<TimePoint> last_read_ended_at;  // the newest successful one
   int failures = 0;  // since the last successful read
   std::uint64_t all_failures = 0;
 };
--- /dev/null
+++ b/tests/support/fake_feed.h
@@ -0,0 +1,107 @@
+#ifndef PARSLEYQUAY_TESTS_SUPPORT_FAKE_FEED_H_
+#define PARSLEYQUAY_TESTS_SUPPORT_FAKE_FEED_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "coordination/change_feed.h"
+#include "event/timer.h"
+
+namespace parsleyquay {
+
+// A change feed that a test fills with changes. As with a real store, a read
+// completes in a later iteration of the event loop.
+template <typename Change>
+class FakeFeed {
+ public:
+  explicit FakeFeed(EventLoop& loop)
+      : loop(loop), timer(loop, [this] { this->CompleteReads(); }) {
+    this->timer.StartRepeating(milliseconds(2));
+  }
+
+  ChangeFeed<Change> feed() {
+    return {.read_all =
+                [this](const FeedReadOptions& options,
+                       typename ChangeFeed<Change>::OnRead on_read) {
+                  return this->AddRead(
+                      {.on_read = std::move(on_read),
+                       .times_out_at = this->loop.Now() + options.timeout});
+                },
+            .read_from =
+                [this](std::uint64_t position, const FeedReadOptions& options,
+                       typename ChangeFeed<Change>::OnRead on_read) {
+                  return this->AddRead(
+                      {.position = position,
+                       .on_read = std::move(on_read),
+                       .waits = options.wait > Duration(0),
+                       .times_out_at = this->loop.Now() + options.timeout});
+                }};
+  }
+
+  void Append(Change change) { this->changes.push_back(std::move(change)); }
+  void SetAvailable(bool available) { this->is_available = available; }
+
+  // While silent, reads get no result and fail after their timeout.
+  void SetSilent(bool silent) { this->is_silent = silent; }
+
+  // Returns how many reads have been sent.
+  std::uint64_t sent_reads() const { return this->last_id; }
+
+ private:
+  struct Read {
+    std::optional<std::uint64_t> position;
+    typename ChangeFeed<Change>::OnRead on_read;
+    bool waits = false;
+    TimePoint times_out_at;
+    std::uint64_t id = 0;
+  };
+
+  CancelFeedRead AddRead(Read read) {
+    const std::uint64_t id = ++this->last_id;
+    read.id = id;
+    this->reads.push_back(std::move(read));
+    return [this, id] {
+      std::erase_if(this->reads, [id](const Read& r) { return r.id == id; });
+    };
+  }
+
+  void CompleteReads() {
+    std::deque<Read> pending;
+    std::swap(pending, this->reads);
+    for (Read& read : pending) {
+      const std::uint64_t from = read.position.value_or(0);
+      const bool has_timed_out =
+          this->is_silent && this->loop.Now() >= read.times_out_at;
+      if (this->is_silent && !has_timed_out) {
+        this->reads.push_back(std::move(read));
+      } else if (!this->is_available || has_timed_out) {
+        read.on_read(
+            {.status = FeedReadStatus::kUnavailable, .detail = "test"});
+      } else if (read.waits && from >= this->changes.size()) {
+        this->reads.push_back(std::move(read));
+      } else {
+        const auto begin =
+            this->changes.begin() + static_cast<std::ptrdiff_t>(from);
+        read.on_read({.status = FeedReadStatus::kRead,
+                      .changes = {begin, this->changes.end()},
+                      .next_position = this->changes.size()});
+      }
+    }
+  }
+
+  EventLoop& loop;
+  std::vector<Change> changes;
+  std::deque<Read> reads;
+  std::uint64_t last_id = 0;
+  bool is_available = true;
+  bool is_silent = false;
+  Timer timer;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_TESTS_SUPPORT_FAKE_FEED_H_
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -1,7 +1,6 @@
 #ifndef PARSLEYQUAY_TESTS_SUPPORT_GATEWAY_FIXTURE_H_
 #define PARSLEYQUAY_TESTS_SUPPORT_GATEWAY_FIXTURE_H_
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,81 +10,11 @@
 #include "event/timer.h"
 #include "gateway/gateway.h"
 #include "http/http_client.h"
+#include "support/fake_feed.h"
 #include "support/scripted_server.h"
 
 namespace parsleyquay {
 
-// A change feed that a test fills with changes. As with a real store, a read
-// completes in a later iteration of the event loop.
-template <typename Change>
-class FakeFeed {
- public:
-  explicit FakeFeed(EventLoop& loop)
-      : timer(loop, [this] { this->CompleteReads(); }) {
-    this->timer.StartRepeating(milliseconds(2));
-  }
-
-  ChangeFeed<Change> feed() {
-    return {.read_all =
-                [this](const FeedReadOptions&,
-                       typename ChangeFeed<Change>::OnRead on_read) {
-                  return this->AddRead({std::nullopt, std::move(on_read)});
-                },
-            .read_from =
-                [this](std::uint64_t position, const FeedReadOptions& options,
-                       typename ChangeFeed<Change>::OnRead on_read) {
-                  return this->AddRead({position, std::move(on_read),
-                                        options.wait > Duration(0)});
-                }};
-  }
-
-  void Append(Change change) { this->changes.push_back(std::move(change)); }
-  void SetAvailable(bool available) { this->is_available = available; }
-
- private:
-  struct Read {
-    std::optional<std::uint64_t> position;
-    typename ChangeFeed<Change>::OnRead on_read;
-    bool waits = false;
-    std::uint64_t id = 0;
-  };
-
-  CancelFeedRead AddRead(Read read) {
-    const std::uint64_t id = ++this->last_id;
-    read.id = id;
-    this->reads.push_back(std::move(read));
-    return [this, id] {
-      std::erase_if(this->reads, [id](const Read& r) { return r.id == id; });
-    };
-  }
-
-  void CompleteReads() {
-    std::deque<Read> pending;
-    std::swap(pending, this->reads);
-    for (Read& read : pending) {
-      const std::uint64_t from = read.position.value_or(0);
-      if (!this->is_available) {
-        read.on_read(
-            {.status = FeedReadStatus::kUnavailable, .detail = "test"});
-      } else if (read.waits && from >= this->changes.size()) {
-        this->reads.push_back(std::move(read));
-      } else {
-        const auto begin =
-            this->changes.begin() + static_cast<std::ptrdiff_t>(from);
-        read.on_read({.status = FeedReadStatus::kRead,
-                      .changes = {begin, this->changes.end()},
-                      .next_position = this->changes.size()});
-      }
-    }
-  }
-
-  std::vector<Change> changes;
-  std::deque<Read> reads;
-  std::uint64_t last_id = 0;
-  bool is_available = true;
-  Timer timer;
-};
-
 // Runs one gateway in this process on loopback, with change feeds and backend
 // servers that the test controls.
 class GatewayFixture {
