roster: Keep vanished servers only after outages in which listings expire

Each successful read after a failed one started the grace period for listings that expire in an outage of the store. One timeout of 0.4 s was enough, though a listing expires after three missed renewals.

The grace period now starts only if the list was unknown for 2.5 s or more, the time from which on listings can expire. An instance that reads the list rarely still takes the time since its last own read for that, as before.

Tests: "a removed server is not kept after one failed read of the list" failed before (still listed after 1 s) and passes; "a server whose entry vanishes after a store outage is used for the grace period only" passes unchanged; its outage lasts 2.5 s.

--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -46,8 +46,9 @@
                },
            .on_availability =
                [this](bool is_available) {
-                 if (is_available) {
-                   StartLapseGracePeriod(this->server_roster,
+                 if (const auto outage = this->ListAge();
+                     is_available && outage) {
+                   StartLapseGracePeriod(this->server_roster, *outage,
                                          this->context.Now());
                  }
                },
--- a/libraries/roster/server_roster.cc
+++ b/libraries/roster/server_roster.cc
@@ -128,8 +128,12 @@
   return listed;
 }
 
-void StartLapseGracePeriod(ServerRoster& roster, TimePoint now) {
-  roster.lapse_grace_until = now + kLapseGracePeriod;
+void StartLapseGracePeriod(ServerRoster& roster,
+                           Duration outage,
+                           TimePoint now) {
+  if (outage >= kMinLapseOutage) {
+    roster.lapse_grace_until = now + kLapseGracePeriod;
+  }
 }
 
 std::optional<TimePoint> NextLapseExpiry(const ServerRoster& roster) {
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -50,6 +50,12 @@
 // the outage; the users' documentation states that time.
 constexpr Duration kLapseGracePeriod = milliseconds(2'200);
 
+// The shortest outage of the store in which a listing can expire. A listing
+// expires 4.5 s after its last renewal, three times the interval of renewals,
+// and the last one before an outage is at most that interval of 1.5 s old. The
+// interval varies, so half a second less than the difference.
+constexpr Duration kMinLapseOutage = milliseconds(2'500);
+
 // The effect of a change on the roster, for the log.
 enum class RosterEvent {
   kNone,
@@ -79,9 +85,11 @@
 // Returns the listed servers, without those whose listing has vanished.
 std::vector<ServerChange> ListedServers(const ServerRoster& roster);
 
-// Starts the grace period. Called when the list of servers can be read again
-// after an outage.
-void StartLapseGracePeriod(ServerRoster& roster, TimePoint now);
+// Called when the list of servers can be read again after an outage of the
+// store. Starts the grace period if listings can have expired in that outage.
+void StartLapseGracePeriod(ServerRoster& roster,
+                           Duration outage,
+                           TimePoint now);
 
 // Returns when the next server whose listing has vanished is to be removed, or
 // std::nullopt if there is none.
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -119,5 +119,34 @@
   CHECK(fleet.peer.Lists("s-stays"));
 }
 
+// Guards against requests to a server whose listing was removed, from an
+// instance that takes one failed read for an outage in which listings expire.
+TEST_CASE("a removed server is not kept after one failed read of the list") {
+  EventLoop loop;
+  Instance reader(loop);
+  reader.feed.Append(Listed("s-stays"));
+  reader.feed.Append(Listed("s-leaves"));
+  reader.discovery->Start();
+  reader.discovery->SetSource(ServerListSource::kStore);
+  const auto await_available = [&](bool is_available) {
+    return RunLoopUntil(
+        loop,
+        [&] {
+          return reader.discovery->has_been_loaded() &&
+                 reader.discovery->is_available() == is_available;
+        },
+        seconds(2));
+  };
+  REQUIRE(await_available(true));
+  reader.feed.SetSilent(true);
+  REQUIRE(await_available(false));
+  reader.feed.SetSilent(false);
+  REQUIRE(await_available(true));
+  reader.feed.Append({"s-leaves", std::nullopt});
+  REQUIRE(RunLoopUntil(
+      loop, [&] { return !reader.Lists("s-leaves"); }, seconds(1)));
+  CHECK(reader.Lists("s-stays"));
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/roster/server_roster_test.cc
+++ b/tests/roster/server_roster_test.cc
@@ -51,7 +51,7 @@
 TEST_CASE("a server that vanishes after an outage is kept for a grace period") {
   ServerRoster roster;
   ApplyServerChange(roster, Listed(5, 9), kStart);
-  StartLapseGracePeriod(roster, kStart);
+  StartLapseGracePeriod(roster, kMinLapseOutage, kStart);
   CHECK(ApplyServerChange(roster, removal, kStart + milliseconds(100)) ==
         RosterEvent::kLapsed);
   CHECK(MayReceiveRequests(roster, roster.servers.at("s1")));
@@ -68,11 +68,20 @@
   }
 }
 
+// Guards against requests to a server that has left, from an instance for which
+// a single read of the list has failed shortly before.
+TEST_CASE("a server that vanishes after one failed read is removed at once") {
+  ServerRoster roster;
+  ApplyServerChange(roster, Listed(5, 9), kStart);
+  StartLapseGracePeriod(roster, milliseconds(1'300), kStart);
+  CHECK(ApplyServerChange(roster, removal, kStart) == RosterEvent::kRemoved);
+}
+
 TEST_CASE(
     "a draining server that vanishes after an outage is removed at once") {
   ServerRoster roster;
   ApplyServerChange(roster, Listed(5, 9, true), kStart);
-  StartLapseGracePeriod(roster, kStart);
+  StartLapseGracePeriod(roster, kMinLapseOutage, kStart);
   CHECK(ApplyServerChange(roster, removal, kStart) == RosterEvent::kRemoved);
 }
 
