gateway: Send changes of the server list in a digest at once

The instance that reads the list now sends the digest when it has applied a change, as it does for failed outcomes.

--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -213,7 +213,7 @@
 void DisseminationAgent::ForwardMember(const std::string& name) {
   if (this->current_role.is_aggregator) {
     this->membership_sync.MarkChanged(name);
-    this->ScheduleUrgentDigest();
+    this->SendDigestSoon();
   }
 }
 
@@ -231,11 +231,11 @@
   AddOutcome(observed, report, this->context.Now());
   this->Collect(observed);
   if (IsUrgent(report.outcome)) {
-    this->ScheduleUrgentDigest();
+    this->SendDigestSoon();
   }
 }
 
-void DisseminationAgent::ScheduleUrgentDigest() {
+void DisseminationAgent::SendDigestSoon() {
   if (this->context.peer_transport) {
     this->urgent_timer.StartOnce(kUrgentDelay);
   }
@@ -280,7 +280,7 @@
   if (has_to_forward) {
     MergeSummary(this->other_domain_outcomes, digest->outcomes);
     if (HasUrgent(digest->outcomes)) {
-      this->ScheduleUrgentDigest();
+      this->SendDigestSoon();
     }
   }
   this->UpdateRole();
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -61,6 +61,10 @@
   // called when it has changed. Does nothing before the peer transport is open.
   void AnnounceStatus();
 
+  // Sends a digest without waiting for the next regular one, if this instance
+  // is the aggregator.
+  void SendDigestSoon();
+
   // Deletes this instance's record from the store.
   void Leave(std::function<void()> on_done);
 
@@ -86,7 +90,6 @@
   void Collect(const OutcomeSummary& observed);
   void CollectFailedRequest(const std::string& service);
   bool has_to_collect() const;
-  void ScheduleUrgentDigest();
   void SendHeartbeat();
   void SendDigest();
   std::vector<std::string> OwnDomainAddresses() const;
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -59,10 +59,13 @@
       dissemination(this->context,
                     WorkspaceRateLimiter::MessageMethods(),
                     this->MakeDisseminationHandlers()),
-      server_discovery(this->context,
-                       [this](const std::string& server) {
-                         this->load_balancer.ResetServer(server);
-                       }),
+      server_discovery(
+          this->context,
+          {.on_new_incarnation =
+               [this](const std::string& server) {
+                 this->load_balancer.ResetServer(server);
+               },
+           .on_news = [this] { this->dissemination.SendDigestSoon(); }}),
       load_balancer(
           this->context,
           this->server_discovery,
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -31,10 +31,9 @@
 
 }  // namespace
 
-ServerDiscovery::ServerDiscovery(GatewayContext& context,
-                                 OnNewIncarnation on_new_incarnation)
+ServerDiscovery::ServerDiscovery(GatewayContext& context, Handlers handlers)
     : context(context),
-      on_new_incarnation(std::move(on_new_incarnation)),
+      handlers(std::move(handlers)),
       feed_reader(
           context.loop,
           "servers",
@@ -169,6 +168,9 @@
     this->Apply(change);
   }
   this->GroupByService();
+  if (!this->unsent_changes.empty() || !this->sent_position) {
+    this->handlers.on_news();
+  }
 }
 
 void ServerDiscovery::OnRead(TimePoint sent_at) {
@@ -213,7 +215,7 @@
     this->unsent_changes.push_back(change);
   }
   if (event == RosterEvent::kAdded || event == RosterEvent::kRestarted) {
-    this->on_new_incarnation(change.server);
+    this->handlers.on_new_incarnation(change.server);
   }
   if (event == RosterEvent::kLapsed) {
     this->ScheduleRemoval();
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -27,10 +27,14 @@
 // this instance has to forward.
 class ServerDiscovery {
  public:
-  // Called for each server that is new or has restarted.
-  using OnNewIncarnation = std::function<void(const std::string& server)>;
+  struct Handlers {
+    // Called for each server that is new or has restarted.
+    std::function<void(const std::string& server)> on_new_incarnation;
+    // Called when there is something to forward in a digest without delay.
+    std::function<void()> on_news;
+  };
 
-  ServerDiscovery(GatewayContext& context, OnNewIncarnation on_new_incarnation);
+  ServerDiscovery(GatewayContext& context, Handlers handlers);
 
   void Start() { this->feed_reader.Start(); }
   void Stop() { this->feed_reader.Stop(); }
@@ -87,7 +91,7 @@
   void GroupByService();
 
   GatewayContext& context;
-  OnNewIncarnation on_new_incarnation;
+  Handlers handlers;
   ChangeFeedReader<ServerChange> feed_reader;
   Timer removal_timer;
   ServerRoster server_roster;
--- a/tests/gateway/aggregator_change_test.cc
+++ b/tests/gateway/aggregator_change_test.cc
@@ -129,5 +129,24 @@
   CHECK(fleet.DrainAndMeasure() < kDrainBound - kForOthers);
 }
 
+// Guards against a part of the time to take a server out of use that is spent
+// on waiting for the next regular digest.
+TEST_CASE("an aggregator sends at once that a server leaves") {
+  GatewayAndMember fleet(false);
+  fleet.member->heartbeat_timer.StartRepeating(seconds(1));
+  fleet.RunFor(seconds(3));
+  constexpr Duration kReadInterval = milliseconds(700);
+  for (int i = 0; i < 5; ++i) {
+    const std::string name = "s-" + std::to_string(10 + i);
+    fleet.ListServer(name, fleet.server.address());
+    fleet.RunFor(milliseconds(1'000 + i * 90));
+    const TimePoint began = fleet.loop.Now();
+    fleet.servers.Append({name, std::nullopt});
+    REQUIRE(fleet.Await(
+        [&] { return fleet.member->heard_to_leave.contains(name); }));
+    CHECK(fleet.loop.Now() - began < kReadInterval + milliseconds(60));
+  }
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -21,13 +21,16 @@
         loop, GatewaySettings(), this->http, std::move(coordination),
         platform::MakePlatformWireProtocol());
     this->discovery = std::make_unique<ServerDiscovery>(
-        *this->context, [](const std::string&) {});
+        *this->context, ServerDiscovery::Handlers{
+                            .on_new_incarnation = [](const std::string&) {},
+                            .on_news = [this] { ++this->news; }});
   }
 
   bool Lists(const std::string& server) const {
     return this->discovery->roster().servers.contains(server);
   }
 
+  int news = 0;  // how often there was something to forward without delay
   FakeFeed<ServerChange> feed;
   HttpClient http;
   std::unique_ptr<GatewayContext> context;
