gateway: Read the server list when it is older than a second

A digest now states how old its sender's list is: the time since the newest successful read, its own or one that it has heard of, so no clocks are compared. Every instance knows as of when its list is complete, from its own reads and from digests of any member, and reads the store when that is more than 1.0 s (the standby, which then forwards the list to its failure domain) or 1.1 to 1.2 s ago (the others). An aggregator sends a digest after each read, so that the age stays below 0.8 s as long as it reads and one digest arrives per read. With a read that fails (0.4 s) and the retry (0.15 s) the worst sum is 1.77 s.

Instances without an aggregator no longer all read each 0.7 s; the same limit covers them. Reads of the list by instances that are no aggregator time out after 0.4 s, not 0.7 s. The grace period after an outage is measured from the same time. Digests of earlier versions state no age and count as new; these ignore the new field.

--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -19,6 +19,8 @@
   Duration wait = Duration(0);      // how long a read waits for a change
   Duration interval = Duration(0);  // from a successful read to the next read
   Duration timeout = seconds(1);    // of a read, in addition to `wait`
+  // The longest delay from a failed read to the next one.
+  Duration max_retry_delay = milliseconds(900);
 
   bool operator==(const FeedReadSchedule&) const = default;
 };
@@ -148,7 +150,6 @@
   // are short, and doubles up to a maximum because rejected requests also put
   // load on the store.
   static constexpr Duration kMinRetryDelay = milliseconds(150);
-  static constexpr Duration kMaxRetryDelay = milliseconds(900);
 
   void CancelCurrent() {
     if (this->cancel_current_read) {
@@ -193,7 +194,7 @@
           *this->next_position, options, std::move(on_read));
       return;
     }
-    options.timeout = this->schedule.timeout * kSnapshotTimeoutFactor;
+    options.timeout *= kSnapshotTimeoutFactor;
     this->cancel_current_read =
         this->feed.read_all(options, std::move(on_read));
   }
@@ -243,7 +244,7 @@
     }
     const Duration delay =
         kMinRetryDelay * (1 << std::min(this->failures - 1, kMaxDoublings));
-    this->timer.StartOnce(std::min(delay, kMaxRetryDelay));
+    this->timer.StartOnce(std::min(delay, this->schedule.max_retry_delay));
   }
 
   void NotifyAvailability(bool is_available) {
--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -158,7 +158,8 @@
                           .configuration_version = digest.configuration_version,
                           .operator_position = digest.operator_position,
                           .servers_from = digest.servers_to,
-                          .servers_to = digest.servers_to};
+                          .servers_to = digest.servers_to,
+                          .server_list_age = digest.server_list_age};
   std::vector<Digest> parts = {std::move(digest)};
   for (DigestMember& member : members) {
     if (parts.back().members.size() == max_members) {
@@ -193,6 +194,9 @@
   if (digest.has_full_server_list) {
     parameters["l"] = true;
   }
+  if (digest.server_list_age) {
+    parameters["g"] = Json::Int64(ToMilliseconds(*digest.server_list_age));
+  }
   for (const ServerChange& change : digest.server_changes) {
     parameters["s"].append(EncodeServerChange(change));
   }
@@ -227,6 +231,9 @@
                 .servers_from = parameters["a"].asUInt64(),
                 .servers_to = parameters["z"].asUInt64(),
                 .has_full_server_list = parameters["l"].asBool()};
+  if (parameters["g"].isInt64()) {
+    digest.server_list_age = milliseconds(parameters["g"].asInt64());
+  }
   std::ranges::transform(parameters["s"],
                          std::back_inserter(digest.server_changes),
                          &DecodeServerChange);
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -49,6 +49,10 @@
   std::uint64_t servers_to = 0;
   bool has_full_server_list = false;
   std::vector<ServerChange> server_changes;
+  // How long ago the sender's list of servers was last known to contain all
+  // changes, at the time of sending. Instances of earlier versions do not state
+  // it.
+  std::optional<Duration> server_list_age;
   std::vector<DigestMember> members;  // only those whose status has changed
   std::map<std::string, DomainView> domains;  // by failure domain
   OutcomeSummary outcomes;
--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -241,6 +241,19 @@
   }
 }
 
+void DisseminationAgent::ForwardServerList() {
+  if (this->current_role.is_aggregator) {
+    this->SendDigestSoon();
+    return;
+  }
+  if (this->current_role.is_standby && this->context.peer_transport) {
+    Digest digest{.sender = this->context.settings.name};
+    this->handlers.fill_digest(digest);
+    SendDigestInParts(this->context, this->OwnDomainAddresses(),
+                      std::move(digest));
+  }
+}
+
 void DisseminationAgent::OnDigest(const Json::Value& parameters) {
   const TimePoint now = this->context.Now();
   const auto digest = DecodeDigest(parameters, now);
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -20,7 +20,7 @@
 struct AggregationRole {
   bool is_aggregator = false;  // collects and forwards the members' reports
   bool is_standby = false;     // succeeds the aggregator
-  // Receives no digests, so it reads the list of servers from the store.
+  // Receives no digests.
   bool is_without_aggregator = true;
 
   bool operator==(const AggregationRole&) const = default;
@@ -65,6 +65,10 @@
   // is the aggregator.
   void SendDigestSoon();
 
+  // Forwards the list of servers within this failure domain if this instance is
+  // the aggregator or its standby. To be called after a read of the store.
+  void ForwardServerList();
+
   // Deletes this instance's record from the store.
   void Leave(std::function<void()> on_done);
 
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -65,7 +65,8 @@
                [this](const std::string& server) {
                  this->load_balancer.ResetServer(server);
                },
-           .on_news = [this] { this->dissemination.SendDigestSoon(); }}),
+           .on_news = [this] { this->dissemination.SendDigestSoon(); },
+           .on_read = [this] { this->dissemination.ForwardServerList(); }}),
       load_balancer(
           this->context,
           this->server_discovery,
@@ -270,9 +271,12 @@
            {{"aggregator", role.is_aggregator ? "yes" : "no"},
             {"standby", role.is_standby ? "yes" : "no"},
             {"alone", role.is_without_aggregator ? "yes" : "no"}});
-  const bool reads_store = role.is_aggregator || role.is_without_aggregator;
-  this->server_discovery.SetSource(reads_store ? ServerListSource::kStore
-                                               : ServerListSource::kPeers);
+  this->server_discovery.SetSource(
+      role.is_aggregator ? ServerListSource::kStore : ServerListSource::kPeers);
+  this->server_discovery.SetReadOrder(
+      {.is_first = role.is_standby,
+       .rank =
+           RankOfMember(this->context.members, this->context.settings.name)});
   this->configuration_watcher.SetFrequentReads(role.is_aggregator);
 }
 
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -9,10 +9,9 @@
 
 namespace {
 
-// A server that drains must get no new requests after two seconds. 700 ms until
-// the change is read and 250 ms until the next digest leave time for one lost
-// datagram, or for a read on a connection that has silently stopped delivering
-// data and the retry 150 ms after its timeout.
+// A server that drains must get no new requests after two seconds. The 700 ms
+// until the change is read leave time for a lost datagram and for a read on a
+// connection that has silently stopped delivering data, see ListAgeLimit().
 constexpr FeedReadSchedule kStoreSchedule = {.interval = milliseconds(700),
                                              .timeout = milliseconds(400)};
 
@@ -21,13 +20,19 @@
 constexpr std::size_t kMaxListedServersPerDigest = 500;
 
 // Reads in case that the digests are incomplete; rare, since every read is a
-// load on the store.
+// load on the store. Digests that tell nothing new or do not arrive cause
+// further reads, see ListAgeLimit(). In an outage, the aggregator's retries
+// show when the store is available again, so those of the others are rarer.
 constexpr FeedReadSchedule kPeersSchedule = {.interval = seconds(40),
-                                             .timeout = milliseconds(700)};
+                                             .timeout = milliseconds(400),
+                                             .max_retry_delay = seconds(2)};
 
 // Before the role of this instance is known.
 constexpr FeedReadSchedule kStartSchedule = {.interval = milliseconds(900),
-                                             .timeout = milliseconds(700)};
+                                             .timeout = milliseconds(400)};
+
+// A longer list of changes is sent as the full list.
+constexpr std::size_t kMaxUnsentChanges = kMaxListedServersPerDigest;
 
 }  // namespace
 
@@ -47,12 +52,12 @@
                [this](bool is_available) {
                  if (const auto outage = this->ListAge();
                      is_available && outage) {
-                   StartLapseGracePeriod(this->server_roster, *outage,
-                                         this->context.Now());
+                   this->StartLapseGracePeriodAfter(*outage);
                  }
                },
            .on_read = [this](TimePoint sent_at) { this->OnRead(sent_at); }}),
-      removal_timer(context.loop, [this] { this->OnRemovalTimer(); }) {}
+      removal_timer(context.loop, [this] { this->OnRemovalTimer(); }),
+      age_timer(context.loop, [this] { this->feed_reader.ReadNow(); }) {}
 
 void ServerDiscovery::SetSource(ServerListSource new_source) {
   const bool reads_store = new_source == ServerListSource::kStore;
@@ -69,6 +74,11 @@
                                                 : kPeersSchedule);
 }
 
+void ServerDiscovery::SetReadOrder(const ListReadOrder& order) {
+  this->read_order = order;
+  this->ScheduleAgeRead();
+}
+
 std::optional<Duration> ServerDiscovery::ListAge() const {
   if (!this->list_known_at) {
     return std::nullopt;
@@ -99,11 +109,27 @@
 }
 
 void ServerDiscovery::ApplyDigest(const Digest& digest) {
-  const bool is_known =
-      this->feed_reader.position().value_or(0) >= digest.servers_to;
-  if (is_known) {
-    return;
+  // NOTE: the time that the datagram has waited in the socket's buffer is not
+  // known, so the list counts as newer by that time.
+  const TimePoint known_at =
+      this->context.Now() - digest.server_list_age.value_or(Duration(0));
+  const auto is_known = [&] {
+    const auto position = this->feed_reader.position();
+    return position && *position >= digest.servers_to;
+  };
+  if (!is_known()) {
+    if (!this->is_available() && this->list_known_at) {
+      this->StartLapseGracePeriodAfter(known_at - *this->list_known_at);
+    }
+    this->ApplyChangesInDigest(digest);
   }
+  const bool states_list = digest.server_list_age || digest.servers_to > 0;
+  if (states_list && is_known()) {
+    this->SetListKnownAt(known_at);
+  }
+}
+
+void ServerDiscovery::ApplyChangesInDigest(const Digest& digest) {
   this->digest_sender = digest.sender;
   if (digest.has_full_server_list) {
     this->feed_reader.ApplyPeerSnapshot(digest.servers_to,
@@ -145,6 +171,7 @@
     digest.has_full_server_list = true;
     digest.server_changes = std::move(list);
   }
+  digest.server_list_age = this->ListAge();
   this->sent_position = position;
 }
 
@@ -173,14 +200,33 @@
   }
 }
 
+void ServerDiscovery::SetListKnownAt(TimePoint known_at) {
+  this->list_known_at =
+      std::max(this->list_known_at.value_or(known_at), known_at);
+  this->ScheduleAgeRead();
+}
+
+// The read is sent at once if the list is too old already.
+void ServerDiscovery::ScheduleAgeRead() {
+  if (const auto age = this->ListAge()) {
+    this->age_timer.StartOnce(
+        std::max(Duration(0), ListAgeLimit(this->read_order) - *age));
+  }
+}
+
+void ServerDiscovery::StartLapseGracePeriodAfter(Duration outage) {
+  StartLapseGracePeriod(this->server_roster, outage, this->context.Now());
+}
+
 void ServerDiscovery::OnRead(TimePoint sent_at) {
-  this->list_known_at = sent_at;
+  this->SetListKnownAt(sent_at);
   if (this->became_reader_at) {
     const Duration passed = this->context.Now() - *this->became_reader_at;
     this->became_reader_at.reset();
     LogEvent(LogLevel::kInfo, "server_list_read",
              {{"after_ms", std::to_string(ToMilliseconds(passed))}});
   }
+  this->handlers.on_read();
 }
 
 void ServerDiscovery::LogChange(const ServerChange& change,
@@ -214,6 +260,10 @@
   if (this->sent_position) {
     this->unsent_changes.push_back(change);
   }
+  if (this->unsent_changes.size() > kMaxUnsentChanges) {
+    this->sent_position.reset();
+    this->unsent_changes.clear();
+  }
   if (event == RosterEvent::kAdded || event == RosterEvent::kRestarted) {
     this->handlers.on_new_incarnation(change.server);
   }
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -12,6 +12,7 @@
 #include "dissemination/digest.h"
 #include "event/timer.h"
 #include "gateway/gateway_context.h"
+#include "gateway/list_age_limit.h"
 #include "roster/server_roster.h"
 
 namespace parsleyquay {
@@ -19,7 +20,8 @@
 // Where the list of backend servers mainly comes from.
 enum class ServerListSource {
   kStore,  // the store, which is read often
-  kPeers,  // digests of peers; the store is read rarely
+  kPeers,  // digests of peers; the store is read rarely, or if the digests do
+           // not tell that the list is complete
 };
 
 // Keeps the roster of backend servers up to date, from the store or from the
@@ -32,6 +34,8 @@
     std::function<void(const std::string& server)> on_new_incarnation;
     // Called when there is something to forward in a digest without delay.
     std::function<void()> on_news;
+    // Called when the list has been read from the store.
+    std::function<void()> on_read;
   };
 
   ServerDiscovery(GatewayContext& context, Handlers handlers);
@@ -39,6 +43,7 @@
   void Start() { this->feed_reader.Start(); }
   void Stop() { this->feed_reader.Stop(); }
   void SetSource(ServerListSource source);
+  void SetReadOrder(const ListReadOrder& order);
 
   // Sets the failure domains whose servers get no requests.
   void SetWithdrawnDomains(const std::set<std::string>& domains);
@@ -85,6 +90,10 @@
   void Apply(const ServerChange& change);
   void LogChange(const ServerChange& change, RosterEvent event) const;
   void LogGap(const Digest& digest);
+  void ApplyChangesInDigest(const Digest& digest);
+  void SetListKnownAt(TimePoint known_at);
+  void StartLapseGracePeriodAfter(Duration outage);
+  void ScheduleAgeRead();
   std::string ListAgeText() const;
   void OnRemovalTimer();
   void ScheduleRemoval();
@@ -94,13 +103,15 @@
   Handlers handlers;
   ChangeFeedReader<ServerChange> feed_reader;
   Timer removal_timer;
+  Timer age_timer;
   ServerRoster server_roster;
   std::map<std::string, std::vector<std::string>> names_by_service;
   // The position of the servers' feed that the last digest has stated, or
   // std::nullopt if the next digest has to contain the full list.
   std::optional<std::uint64_t> sent_position;
   std::vector<ServerChange> unsent_changes;  // since `sent_position`
-  ServerListSource source = ServerListSource::kStore;
+  ServerListSource source = ServerListSource::kPeers;
+  ListReadOrder read_order;
   // Set from a change of the source to the store until its first read ends.
   std::optional<TimePoint> became_reader_at;
   // The peer whose digest is being applied, or empty.
--- a/tests/dissemination/dissemination_test.cc
+++ b/tests/dissemination/dissemination_test.cc
@@ -158,7 +158,8 @@
                 .configuration_version = 7,
                 .operator_position = 12,
                 .servers_from = 3,
-                .servers_to = 5};
+                .servers_to = 5,
+                .server_list_age = milliseconds(250)};
   digest.server_changes = {
       {"s1", ServerListing{.service = "lookup",
                            .address = "127.0.0.1:9",
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -23,14 +23,14 @@
     this->discovery = std::make_unique<ServerDiscovery>(
         *this->context, ServerDiscovery::Handlers{
                             .on_new_incarnation = [](const std::string&) {},
-                            .on_news = [this] { ++this->news; }});
+                            .on_news = [] {},
+                            .on_read = [] {}});
   }
 
   bool Lists(const std::string& server) const {
     return this->discovery->roster().servers.contains(server);
   }
 
-  int news = 0;  // how often there was something to forward without delay
   FakeFeed<ServerChange> feed;
   HttpClient http;
   std::unique_ptr<GatewayContext> context;
@@ -122,6 +122,110 @@
   CHECK(fleet.peer.Lists("s-stays"));
 }
 
+// An instance that reads the list, and one that has it from the digests of the
+// first. The list in the stores of both is the same.
+struct ReaderAndMember {
+  ReaderAndMember() {
+    for (Instance* instance : {&this->reader, &this->member}) {
+      instance->feed.Append(Listed("s-stays"));
+      instance->feed.Append(Listed("s-leaves"));
+      instance->discovery->Start();
+    }
+    REQUIRE(RunLoopUntil(
+        this->loop,
+        [&] {
+          return this->reader.discovery->has_been_loaded() &&
+                 this->member.discovery->has_been_loaded();
+        },
+        seconds(2)));
+    this->reader.discovery->SetSource(ServerListSource::kStore);
+    this->member.discovery->SetSource(ServerListSource::kPeers);
+    this->digest_timer.StartRepeating(milliseconds(250));
+    this->RunFor(milliseconds(1'500));
+  }
+
+  void SendDigest() {
+    Digest digest{.sender = "reader"};
+    this->reader.discovery->AddChangesToDigest(digest);
+    const auto received =
+        DecodeDigest(EncodeDigest(digest, this->loop.Now()), this->loop.Now());
+    REQUIRE(received);
+    this->member.discovery->ApplyDigest(*received);
+  }
+
+  void RunFor(Duration duration) {
+    RunLoopUntil(
+        this->loop, [] { return false; }, duration);
+  }
+
+  // Removes a server from the list. Returns the time until the member no longer
+  // has it, or ten seconds if that takes longer.
+  Duration RemoveAndMeasure() {
+    const TimePoint began = this->loop.Now();
+    const ServerChange removal = {"s-leaves", std::nullopt};
+    this->reader.feed.Append(removal);
+    this->member.feed.Append(removal);
+    RunLoopUntil(
+        this->loop, [&] { return !this->member.Lists("s-leaves"); },
+        seconds(10));
+    return this->loop.Now() - began;
+  }
+
+  EventLoop loop;
+  Instance reader{loop};
+  Instance member{loop};
+  Timer digest_timer{loop, [this] { this->SendDigest(); }};
+};
+
+// A server that leaves must get no new requests after this time. A part of it
+// is left for the request itself.
+constexpr Duration kRemovalBound = milliseconds(1'900);
+
+// Guards against a store that is read by every instance in a healthy fleet.
+TEST_CASE("an instance that gets digests does not read the list itself") {
+  ReaderAndMember fleet;
+  const std::uint64_t before = fleet.member.feed.sent_reads();
+  fleet.RunFor(seconds(3));
+  CHECK(fleet.member.feed.sent_reads() == before);
+}
+
+// Guards against an instance that keeps a list which nobody has read for a long
+// time: its aggregator has failed just after a digest.
+TEST_CASE("an instance that gets no digests reads the list itself") {
+  ReaderAndMember fleet;
+  fleet.SendDigest();
+  fleet.digest_timer.Stop();
+  SECTION("at the first try") {}
+  SECTION("at the second try, since its first read gets no response") {
+    fleet.member.feed.SilenceReads(1);
+  }
+  CHECK(fleet.RemoveAndMeasure() < kRemovalBound);
+}
+
+// Guards against calls to the store that instances of an earlier version cause
+// during a rolling restart: their digests do not state the age of the list.
+TEST_CASE("digests without the age of the list count as new") {
+  ReaderAndMember fleet;
+  fleet.digest_timer.Stop();
+  const std::uint64_t before = fleet.member.feed.sent_reads();
+  for (int i = 0; i < 6; ++i) {
+    Digest digest{.sender = "reader"};
+    fleet.reader.discovery->AddChangesToDigest(digest);
+    digest.server_list_age.reset();
+    fleet.member.discovery->ApplyDigest(digest);
+    fleet.RunFor(milliseconds(500));
+  }
+  CHECK(fleet.member.feed.sent_reads() == before);
+}
+
+// Guards against an aggregator that the store turns away but that goes on
+// sending digests, so that nobody replaces it.
+TEST_CASE("an instance reads the list itself if its aggregator cannot") {
+  ReaderAndMember fleet;
+  fleet.reader.feed.SetAvailable(false);
+  CHECK(fleet.RemoveAndMeasure() < kRemovalBound);
+}
+
 // Guards against requests to a server whose listing was removed, from an
 // instance that takes one failed read for an outage in which listings expire.
 TEST_CASE("a removed server is not kept after one failed read of the list") {
@@ -141,9 +245,8 @@
         seconds(2));
   };
   REQUIRE(await_available(true));
-  reader.feed.SetSilent(true);
+  reader.feed.SilenceReads(1);
   REQUIRE(await_available(false));
-  reader.feed.SetSilent(false);
   REQUIRE(await_available(true));
   reader.feed.Append({"s-leaves", std::nullopt});
   REQUIRE(RunLoopUntil(
--- a/tests/support/fake_feed.h
+++ b/tests/support/fake_feed.h
@@ -45,8 +45,8 @@
   void Append(Change change) { this->changes.push_back(std::move(change)); }
   void SetAvailable(bool available) { this->is_available = available; }
 
-  // While silent, reads get no result and fail after their timeout.
-  void SetSilent(bool silent) { this->is_silent = silent; }
+  // The next `count` reads get no result and fail after their timeout.
+  void SilenceReads(int count) { this->silent_reads = count; }
 
   // Returns how many reads have been sent.
   std::uint64_t sent_reads() const { return this->last_id; }
@@ -57,12 +57,15 @@
     typename ChangeFeed<Change>::OnRead on_read;
     bool waits = false;
     TimePoint times_out_at;
+    bool is_silent = false;
     std::uint64_t id = 0;
   };
 
   CancelFeedRead AddRead(Read read) {
     const std::uint64_t id = ++this->last_id;
     read.id = id;
+    read.is_silent = this->silent_reads > 0;
+    this->silent_reads -= read.is_silent ? 1 : 0;
     this->reads.push_back(std::move(read));
     return [this, id] {
       std::erase_if(this->reads, [id](const Read& r) { return r.id == id; });
@@ -75,8 +78,8 @@
     for (Read& read : pending) {
       const std::uint64_t from = read.position.value_or(0);
       const bool has_timed_out =
-          this->is_silent && this->loop.Now() >= read.times_out_at;
-      if (this->is_silent && !has_timed_out) {
+          read.is_silent && this->loop.Now() >= read.times_out_at;
+      if (read.is_silent && !has_timed_out) {
         this->reads.push_back(std::move(read));
       } else if (!this->is_available || has_timed_out) {
         read.on_read(
@@ -98,7 +101,7 @@
   std::deque<Read> reads;
   std::uint64_t last_id = 0;
   bool is_available = true;
-  bool is_silent = false;
+  int silent_reads = 0;  // to come
   Timer timer;
 };
 
