--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -19,6 +19,8 @@
   Duration wait = Duration(0);      // how long a read waits for a change
   Duration interval = Duration(0);  // from a successful read to the next read
   Duration timeout = seconds(1);    // of a read, in addition to `wait`
+  // The longest delay from a failed read to the next one.
+  Duration max_retry_delay = milliseconds(900);
 
   bool operator==(const FeedReadSchedule&) const = default;
 };
@@ -40,6 +42,9 @@
         on_changes;
     // Called when the feed becomes unavailable, and when it is available again.
     std::function<void(bool is_available)> on_availability;
+    // Called after a successful read and the delivery of its changes, with the
+    // time when the read was sent.
+    std::function<void(TimePoint sent_at)> on_read;
   };
 
   ChangeFeedReader(EventLoop& loop,
@@ -65,18 +70,23 @@
     this->CancelCurrent();
   }
 
-  // Takes effect at once. A read that waits for a change is replaced if the new
-  // schedule has a shorter wait.
+  // Takes effect at once: the next read is due one interval after the last one
+  // ended, so it is sent now if that is past. The retry of a failed read is not
+  // postponed. A read that waits for a change is replaced if the new schedule
+  // has a shorter wait.
   void SetReadSchedule(FeedReadSchedule new_schedule) {
     if (new_schedule == this->schedule) {
       return;
     }
     const bool has_shorter_wait = new_schedule.wait < this->schedule.wait;
     this->schedule = new_schedule;
-    if (!this->cancel_current_read) {
-      this->timer.StartOnce(this->schedule.interval);
-    } else if (this->is_waiting && has_shorter_wait) {
-      this->ReadNow();
+    if (this->cancel_current_read) {
+      if (this->is_waiting && has_shorter_wait) {
+        this->ReadNow();
+      }
+    } else if (this->last_read_ended_at && this->failures == 0) {
+      const TimePoint due = *this->last_read_ended_at + this->schedule.interval;
+      this->timer.StartOnce(std::max(Duration(0), due - this->loop.Now()));
     }
   }
 
@@ -132,18 +142,14 @@
   }
 
   bool is_available() const { return this->failures == 0; }
-  // Returns when the last successful read was sent, or std::nullopt if there
-  // was none.
-  std::optional<TimePoint> last_read_sent_at() const {
-    return this->newest_read_sent_at;
-  }
+  // Returns how many reads have failed since the start.
+  std::uint64_t failed_reads() const { return this->all_failures; }
 
  private:
   // The delay after a failed read. It is short at first because most outages
   // are short, and doubles up to a maximum because rejected requests also put
   // load on the store.
   static constexpr Duration kMinRetryDelay = milliseconds(150);
-  static constexpr Duration kMaxRetryDelay = milliseconds(900);
 
   void CancelCurrent() {
     if (this->cancel_current_read) {
@@ -188,7 +194,7 @@
           *this->next_position, options, std::move(on_read));
       return;
     }
-    options.timeout = this->schedule.timeout * kSnapshotTimeoutFactor;
+    options.timeout *= kSnapshotTimeoutFactor;
     this->cancel_current_read =
         this->feed.read_all(options, std::move(on_read));
   }
@@ -215,19 +221,22 @@
       this->Read({.timeout = this->schedule.timeout});
       return;
     }
-    this->newest_read_sent_at = sent_at;
+    this->last_read_ended_at = this->loop.Now();
     this->timer.StartOnce(this->schedule.interval);
     // A peer may have told of newer changes meanwhile.
-    if (this->next_position.value_or(0) > read.next_position) {
-      return;
+    if (this->next_position.value_or(0) <= read.next_position) {
+      this->next_position = read.next_position;
+      this->has_expired = false;
+      this->Deliver(std::move(read.changes), kind);
+    }
+    if (this->handlers.on_read) {
+      this->handlers.on_read(sent_at);
     }
-    this->next_position = read.next_position;
-    this->has_expired = false;
-    this->Deliver(std::move(read.changes), kind);
   }
 
   void OnUnavailable(const std::string& detail) {
     ++this->failures;
+    ++this->all_failures;
     if (this->failures == 1) {
       LogEvent(LogLevel::kWarning, "feed_lost",
                {{"feed", this->name}, {"detail", detail}});
@@ -235,7 +244,7 @@
     }
     const Duration delay =
         kMinRetryDelay * (1 << std::min(this->failures - 1, kMaxDoublings));
-    this->timer.StartOnce(std::min(delay, kMaxRetryDelay));
+    this->timer.StartOnce(std::min(delay, this->schedule.max_retry_delay));
   }
 
   void NotifyAvailability(bool is_available) {
@@ -266,8 +275,9 @@
   bool is_waiting = false;  // whether the current read waits for a change
   std::optional<std::uint64_t> next_position;
   bool has_expired = false;  // changes at `next_position` are not retained
-  std::optional<TimePoint> newest_read_sent_at;
+  std::optional<TimePoint> last_read_ended_at;  // the newest successful one
   int failures = 0;  // since the last successful read
+  std::uint64_t all_failures = 0;
 };
 
 }  // namespace parsleyquay
--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -213,7 +213,7 @@
 void DisseminationAgent::ForwardMember(const std::string& name) {
   if (this->current_role.is_aggregator) {
     this->membership_sync.MarkChanged(name);
-    this->ScheduleUrgentDigest();
+    this->SendDigestSoon();
   }
 }
 
@@ -231,16 +231,29 @@
   AddOutcome(observed, report, this->context.Now());
   this->Collect(observed);
   if (IsUrgent(report.outcome)) {
-    this->ScheduleUrgentDigest();
+    this->SendDigestSoon();
   }
 }
 
-void DisseminationAgent::ScheduleUrgentDigest() {
+void DisseminationAgent::SendDigestSoon() {
   if (this->context.peer_transport) {
     this->urgent_timer.StartOnce(kUrgentDelay);
   }
 }
 
+void DisseminationAgent::ForwardServerList() {
+  if (this->current_role.is_aggregator) {
+    this->SendDigestSoon();
+    return;
+  }
+  if (this->current_role.is_standby && this->context.peer_transport) {
+    Digest digest{.sender = this->context.settings.name};
+    this->handlers.fill_digest(digest);
+    SendDigestInParts(this->context, this->OwnDomainAddresses(),
+                      std::move(digest));
+  }
+}
+
 void DisseminationAgent::OnDigest(const Json::Value& parameters) {
   const TimePoint now = this->context.Now();
   const auto digest = DecodeDigest(parameters, now);
@@ -280,7 +293,7 @@
   if (has_to_forward) {
     MergeSummary(this->other_domain_outcomes, digest->outcomes);
     if (HasUrgent(digest->outcomes)) {
-      this->ScheduleUrgentDigest();
+      this->SendDigestSoon();
     }
   }
   this->UpdateRole();
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -59,10 +59,14 @@
       dissemination(this->context,
                     WorkspaceRateLimiter::MessageMethods(),
                     this->MakeDisseminationHandlers()),
-      server_discovery(this->context,
-                       [this](const std::string& server) {
-                         this->load_balancer.ResetServer(server);
-                       }),
+      server_discovery(
+          this->context,
+          {.on_new_incarnation =
+               [this](const std::string& server) {
+                 this->load_balancer.ResetServer(server);
+               },
+           .on_news = [this] { this->dissemination.SendDigestSoon(); },
+           .on_read = [this] { this->dissemination.ForwardServerList(); }}),
       load_balancer(
           this->context,
           this->server_discovery,
@@ -228,6 +232,12 @@
                    CountAlive(this->context.members, this->context.Now()));
   IncrementCounter(metrics, "servers_listed",
                    this->server_discovery.roster().servers.size());
+  IncrementCounter(metrics, "server_list_reads_failed",
+                   this->server_discovery.failed_reads());
+  if (const auto age = this->server_discovery.ListAge()) {
+    IncrementCounter(metrics, "server_list_age_ms",
+                     static_cast<std::uint64_t>(ToMilliseconds(*age)));
+  }
   IncrementCounter(metrics, "log_lines_dropped", DroppedLogLines());
   if (this->context.peer_transport) {
     const PeerTrafficCounters& traffic =
@@ -261,9 +271,12 @@
            {{"aggregator", role.is_aggregator ? "yes" : "no"},
             {"standby", role.is_standby ? "yes" : "no"},
             {"alone", role.is_without_aggregator ? "yes" : "no"}});
-  const bool reads_store = role.is_aggregator || role.is_without_aggregator;
-  this->server_discovery.SetSource(reads_store ? ServerListSource::kStore
-                                               : ServerListSource::kPeers);
+  this->server_discovery.SetSource(
+      role.is_aggregator ? ServerListSource::kStore : ServerListSource::kPeers);
+  this->server_discovery.SetReadOrder(
+      {.is_first = role.is_standby,
+       .rank =
+           RankOfMember(this->context.members, this->context.settings.name)});
   this->configuration_watcher.SetFrequentReads(role.is_aggregator);
 }
 
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -9,10 +9,9 @@
 
 namespace {
 
-// A server that drains must get no new requests after two seconds. 700 ms until
-// the change is read and 250 ms until the next digest leave time for one lost
-// datagram, or for a read on a connection that has silently stopped delivering
-// data and the retry 150 ms after its timeout.
+// A server that drains must get no new requests after two seconds. The 700 ms
+// until the change is read leave time for a lost datagram and for a read on a
+// connection that has silently stopped delivering data, see ListAgeLimit().
 constexpr FeedReadSchedule kStoreSchedule = {.interval = milliseconds(700),
                                              .timeout = milliseconds(400)};
 
@@ -21,20 +20,25 @@
 constexpr std::size_t kMaxListedServersPerDigest = 500;
 
 // Reads in case that the digests are incomplete; rare, since every read is a
-// load on the store.
+// load on the store. Digests that tell nothing new or do not arrive cause
+// further reads, see ListAgeLimit(). In an outage, the aggregator's retries
+// show when the store is available again, so those of the others are rarer.
 constexpr FeedReadSchedule kPeersSchedule = {.interval = seconds(40),
-                                             .timeout = milliseconds(700)};
+                                             .timeout = milliseconds(400),
+                                             .max_retry_delay = seconds(2)};
 
 // Before the role of this instance is known.
 constexpr FeedReadSchedule kStartSchedule = {.interval = milliseconds(900),
-                                             .timeout = milliseconds(700)};
+                                             .timeout = milliseconds(400)};
+
+// A longer list of changes is sent as the full list.
+constexpr std::size_t kMaxUnsentChanges = kMaxListedServersPerDigest;
 
 }  // namespace
 
-ServerDiscovery::ServerDiscovery(GatewayContext& context,
-                                 OnNewIncarnation on_new_incarnation)
+ServerDiscovery::ServerDiscovery(GatewayContext& context, Handlers handlers)
     : context(context),
-      on_new_incarnation(std::move(on_new_incarnation)),
+      handlers(std::move(handlers)),
       feed_reader(
           context.loop,
           "servers",
@@ -46,16 +50,45 @@
                },
            .on_availability =
                [this](bool is_available) {
-                 if (is_available) {
-                   StartLapseGracePeriod(this->server_roster,
-                                         this->context.Now());
+                 if (const auto outage = this->ListAge();
+                     is_available && outage) {
+                   this->StartLapseGracePeriodAfter(*outage);
                  }
-               }}),
-      removal_timer(context.loop, [this] { this->OnRemovalTimer(); }) {}
+               },
+           .on_read = [this](TimePoint sent_at) { this->OnRead(sent_at); }}),
+      removal_timer(context.loop, [this] { this->OnRemovalTimer(); }),
+      age_timer(context.loop, [this] { this->feed_reader.ReadNow(); }) {}
+
+void ServerDiscovery::SetSource(ServerListSource new_source) {
+  const bool reads_store = new_source == ServerListSource::kStore;
+  if (new_source != this->source) {
+    this->source = new_source;
+    this->became_reader_at =
+        reads_store ? std::optional(this->context.Now()) : std::nullopt;
+    LogEvent(LogLevel::kInfo, "server_list_source",
+             {{"source", reads_store ? "store" : "peers"},
+              {"list_age_ms", this->ListAgeText()},
+              {"store_available", this->is_available() ? "yes" : "no"}});
+  }
+  this->feed_reader.SetReadSchedule(reads_store ? kStoreSchedule
+                                                : kPeersSchedule);
+}
+
+void ServerDiscovery::SetReadOrder(const ListReadOrder& order) {
+  this->read_order = order;
+  this->ScheduleAgeRead();
+}
+
+std::optional<Duration> ServerDiscovery::ListAge() const {
+  if (!this->list_known_at) {
+    return std::nullopt;
+  }
+  return this->context.Now() - *this->list_known_at;
+}
 
-void ServerDiscovery::SetSource(ServerListSource source) {
-  this->feed_reader.SetReadSchedule(
-      source == ServerListSource::kStore ? kStoreSchedule : kPeersSchedule);
+std::string ServerDiscovery::ListAgeText() const {
+  const auto age = this->ListAge();
+  return age ? std::to_string(ToMilliseconds(*age)) : "-";
 }
 
 void ServerDiscovery::SetWithdrawnDomains(
@@ -76,20 +109,51 @@
 }
 
 void ServerDiscovery::ApplyDigest(const Digest& digest) {
-  const bool is_known =
-      this->feed_reader.position().value_or(0) >= digest.servers_to;
-  if (is_known) {
-    return;
+  // NOTE: the time that the datagram has waited in the socket's buffer is not
+  // known, so the list counts as newer by that time.
+  const TimePoint known_at =
+      this->context.Now() - digest.server_list_age.value_or(Duration(0));
+  const auto is_known = [&] {
+    const auto position = this->feed_reader.position();
+    return position && *position >= digest.servers_to;
+  };
+  if (!is_known()) {
+    if (!this->is_available() && this->list_known_at) {
+      this->StartLapseGracePeriodAfter(known_at - *this->list_known_at);
+    }
+    this->ApplyChangesInDigest(digest);
+  }
+  const bool states_list = digest.server_list_age || digest.servers_to > 0;
+  if (states_list && is_known()) {
+    this->SetListKnownAt(known_at);
   }
+}
+
+void ServerDiscovery::ApplyChangesInDigest(const Digest& digest) {
+  this->digest_sender = digest.sender;
   if (digest.has_full_server_list) {
     this->feed_reader.ApplyPeerSnapshot(digest.servers_to,
                                         digest.server_changes);
-    return;
-  }
-  if (!this->feed_reader.ApplyPeerChanges(
-          digest.servers_from, digest.servers_to, digest.server_changes)) {
+  } else if (!this->feed_reader.ApplyPeerChanges(digest.servers_from,
+                                                 digest.servers_to,
+                                                 digest.server_changes)) {
+    this->LogGap(digest);
     this->feed_reader.ReadNow();
   }
+  this->digest_sender.clear();
+}
+
+void ServerDiscovery::LogGap(const Digest& digest) {
+  if (std::exchange(this->logged_gap, digest.servers_to) == digest.servers_to) {
+    return;
+  }
+  LogEvent(
+      LogLevel::kInfo, "server_list_gap",
+      {{"peer", digest.sender},
+       {"position", std::to_string(this->feed_reader.position().value_or(0))},
+       {"told_position", std::to_string(digest.servers_to)},
+       {"list_age_ms", this->ListAgeText()},
+       {"store_available", this->is_available() ? "yes" : "no"}});
 }
 
 void ServerDiscovery::AddChangesToDigest(Digest& digest) {
@@ -107,6 +171,7 @@
     digest.has_full_server_list = true;
     digest.server_changes = std::move(list);
   }
+  digest.server_list_age = this->ListAge();
   this->sent_position = position;
 }
 
@@ -130,6 +195,56 @@
     this->Apply(change);
   }
   this->GroupByService();
+  if (!this->unsent_changes.empty() || !this->sent_position) {
+    this->handlers.on_news();
+  }
+}
+
+void ServerDiscovery::SetListKnownAt(TimePoint known_at) {
+  this->list_known_at =
+      std::max(this->list_known_at.value_or(known_at), known_at);
+  this->ScheduleAgeRead();
+}
+
+// The read is sent at once if the list is too old already.
+void ServerDiscovery::ScheduleAgeRead() {
+  if (const auto age = this->ListAge()) {
+    this->age_timer.StartOnce(
+        std::max(Duration(0), ListAgeLimit(this->read_order) - *age));
+  }
+}
+
+void ServerDiscovery::StartLapseGracePeriodAfter(Duration outage) {
+  StartLapseGracePeriod(this->server_roster, outage, this->context.Now());
+}
+
+void ServerDiscovery::OnRead(TimePoint sent_at) {
+  this->SetListKnownAt(sent_at);
+  if (this->became_reader_at) {
+    const Duration passed = this->context.Now() - *this->became_reader_at;
+    this->became_reader_at.reset();
+    LogEvent(LogLevel::kInfo, "server_list_read",
+             {{"after_ms", std::to_string(ToMilliseconds(passed))}});
+  }
+  this->handlers.on_read();
+}
+
+void ServerDiscovery::LogChange(const ServerChange& change,
+                                RosterEvent event) const {
+  std::vector<LogField> fields = {
+      {"server", change.server},
+      {"change", std::string(RosterEventName(event))},
+      {"service", change.listing ? change.listing->service : "-"},
+      {"address", change.listing ? change.listing->address : "-"},
+      {"position", std::to_string(this->feed_reader.position().value_or(0))},
+      {"source", this->digest_sender.empty() ? "store" : this->digest_sender},
+      {"list_age_ms", this->ListAgeText()}};
+  if (event == RosterEvent::kLapsed) {
+    const Duration kept =
+        this->server_roster.lapse_grace_until - this->context.Now();
+    fields.push_back({"kept_ms", std::to_string(ToMilliseconds(kept))});
+  }
+  LogEvent(LogLevel::kInfo, "server_list", fields);
 }
 
 void ServerDiscovery::Apply(const ServerChange& change) {
@@ -138,21 +253,19 @@
   if (event == RosterEvent::kNone) {
     return;
   }
-  LogEvent(
-      LogLevel::kInfo, "server_list",
-      {{"server", change.server},
-       {"change", std::string(RosterEventName(event))},
-       {"service", change.listing ? change.listing->service : "-"},
-       {"address", change.listing ? change.listing->address : "-"},
-       {"position", std::to_string(this->feed_reader.position().value_or(0))}});
+  this->LogChange(change, event);
   if (event == RosterEvent::kStale) {
     return;
   }
   if (this->sent_position) {
     this->unsent_changes.push_back(change);
   }
+  if (this->unsent_changes.size() > kMaxUnsentChanges) {
+    this->sent_position.reset();
+    this->unsent_changes.clear();
+  }
   if (event == RosterEvent::kAdded || event == RosterEvent::kRestarted) {
-    this->on_new_incarnation(change.server);
+    this->handlers.on_new_incarnation(change.server);
   }
   if (event == RosterEvent::kLapsed) {
     this->ScheduleRemoval();
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -12,6 +12,7 @@
 #include "dissemination/digest.h"
 #include "event/timer.h"
 #include "gateway/gateway_context.h"
+#include "gateway/list_age_limit.h"
 #include "roster/server_roster.h"
 
 namespace parsleyquay {
@@ -19,7 +20,8 @@
 // Where the list of backend servers mainly comes from.
 enum class ServerListSource {
   kStore,  // the store, which is read often
-  kPeers,  // digests of peers; the store is read rarely
+  kPeers,  // digests of peers; the store is read rarely, or if the digests do
+           // not tell that the list is complete
 };
 
 // Keeps the roster of backend servers up to date, from the store or from the
@@ -27,14 +29,21 @@
 // this instance has to forward.
 class ServerDiscovery {
  public:
-  // Called for each server that is new or has restarted.
-  using OnNewIncarnation = std::function<void(const std::string& server)>;
+  struct Handlers {
+    // Called for each server that is new or has restarted.
+    std::function<void(const std::string& server)> on_new_incarnation;
+    // Called when there is something to forward in a digest without delay.
+    std::function<void()> on_news;
+    // Called when the list has been read from the store.
+    std::function<void()> on_read;
+  };
 
-  ServerDiscovery(GatewayContext& context, OnNewIncarnation on_new_incarnation);
+  ServerDiscovery(GatewayContext& context, Handlers handlers);
 
   void Start() { this->feed_reader.Start(); }
   void Stop() { this->feed_reader.Stop(); }
   void SetSource(ServerListSource source);
+  void SetReadOrder(const ListReadOrder& order);
 
   // Sets the failure domains whose servers get no requests.
   void SetWithdrawnDomains(const std::set<std::string>& domains);
@@ -56,6 +65,15 @@
   // Whether the newest read of the store succeeded.
   bool is_available() const { return this->feed_reader.is_available(); }
 
+  // Returns how many reads of the store have failed since the start.
+  std::uint64_t failed_reads() const {
+    return this->feed_reader.failed_reads();
+  }
+
+  // Returns how long ago the list was last known to be complete, or
+  // std::nullopt if it never was.
+  std::optional<Duration> ListAge() const;
+
   // Whether the whole list has been read once.
   bool has_been_loaded() const {
     return this->feed_reader.position().has_value();
@@ -68,21 +86,39 @@
 
  private:
   void OnChanges(std::vector<ServerChange> changes, ChangeSetKind kind);
+  void OnRead(TimePoint sent_at);
   void Apply(const ServerChange& change);
+  void LogChange(const ServerChange& change, RosterEvent event) const;
+  void LogGap(const Digest& digest);
+  void ApplyChangesInDigest(const Digest& digest);
+  void SetListKnownAt(TimePoint known_at);
+  void StartLapseGracePeriodAfter(Duration outage);
+  void ScheduleAgeRead();
+  std::string ListAgeText() const;
   void OnRemovalTimer();
   void ScheduleRemoval();
   void GroupByService();
 
   GatewayContext& context;
-  OnNewIncarnation on_new_incarnation;
+  Handlers handlers;
   ChangeFeedReader<ServerChange> feed_reader;
   Timer removal_timer;
+  Timer age_timer;
   ServerRoster server_roster;
   std::map<std::string, std::vector<std::string>> names_by_service;
   // The position of the servers' feed that the last digest has stated, or
   // std::nullopt if the next digest has to contain the full list.
   std::optional<std::uint64_t> sent_position;
   std::vector<ServerChange> unsent_changes;  // since `sent_position`
+  ServerListSource source = ServerListSource::kPeers;
+  ListReadOrder read_order;
+  // Set from a change of the source to the store until its first read ends.
+  std::optional<TimePoint> became_reader_at;
+  // The peer whose digest is being applied, or empty.
+  std::string digest_sender;
+  std::uint64_t logged_gap = 0;  // the position up to which changes are missing
+  // The list contains all changes before this time.
+  std::optional<TimePoint> list_known_at;
 };
 
 }  // namespace parsleyquay
