--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -32,6 +32,10 @@
     std::cout << "BROKEN " << violation << std::endl
               << run.LogLines(violation.substr(0, violation.find(' ')));
   }
+  const char* log_directory = std::getenv("PARSLEYQUAY_LOGS");
+  if (log_directory && !violations.empty()) {
+    run.KeepLogs(log_directory);
+  }
   CHECK(violations.empty());
 }
 
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -49,6 +49,9 @@
   ScriptedServer& AddServer(const std::string& id,
                             ScriptedServer::Script script);
   void ListServer(const std::string& id, const std::string& state);
+  // Ends a server. Its entry in the store's list stays.
+  void EndServer(const std::string& id) { this->servers.erase(id); }
+  ScriptedServer& server(const std::string& id) { return *this->servers[id]; }
 
   BufferedResponse Send(int gateway,
                         const std::string& method,
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstdlib>
 #include <stdexcept>
+#include <utility>
 
 #include "experiment/port_range.h"
 
@@ -108,6 +109,16 @@
   }
 }
 
+void ScriptedServer::PauseAccepting() {
+  this->watcher.Stop();
+  listen(this->listener, 1);
+}
+
+void ScriptedServer::ResumeAccepting() {
+  listen(this->listener, SOMAXCONN);
+  this->watcher.Start(this->listener, EV_READ);
+}
+
 void ScriptedServer::Accept() {
   const int descriptor =
       accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -171,6 +182,9 @@
 
 bool ScriptedServer::Respond(int descriptor, const RawRequest& request) {
   this->received_requests.push_back(request);
+  if (!this->SendStrayBytes(descriptor)) {
+    return false;
+  }
   const RawResponse response = this->script(request);
   if (response.delay <= Duration(0)) {
     return this->SendResponse(descriptor, response);
@@ -185,34 +199,76 @@
 }
 
 bool ScriptedServer::SendResponse(int descriptor, const RawResponse& response) {
-  std::size_t sent = 0;
-  while (sent < response.bytes.size()) {
-    const ssize_t step = send(descriptor, response.bytes.data() + sent,
-                              response.bytes.size() - sent, MSG_NOSIGNAL);
-    if (step <= 0 && errno != EAGAIN) {
-      break;
-    }
-    sent += step > 0 ? static_cast<std::size_t>(step) : 0;
+  Connection& connection = this->open[descriptor];
+  const bool sends_at_once = response.stray_delay == Duration(0);
+  connection.outgoing +=
+      response.bytes + (sends_at_once ? response.stray_bytes : "");
+  connection.action_when_sent = response.connection_action;
+  if (!sends_at_once && !response.stray_bytes.empty()) {
+    connection.stray_bytes = response.stray_bytes;
+    connection.stray_timer = std::make_unique<Timer>(
+        this->loop, [this, descriptor] { this->SendStrayBytes(descriptor); });
+    connection.stray_timer->StartOnce(response.stray_delay);
   }
   if (!response.endless_body.empty()) {
-    Connection& connection = this->open[descriptor];
     connection.endless = response.endless_body;
     connection.writer = std::make_unique<IoWatcher>(
         this->loop,
         [this, descriptor](int) { this->ContinueEndlessBody(descriptor); });
     connection.writer->Start(descriptor, EV_WRITE);
+  }
+  return this->Flush(descriptor) && response.endless_body.empty() &&
+         response.connection_action == ConnectionAction::kKeep;
+}
+
+bool ScriptedServer::Flush(int descriptor) {
+  Connection& connection = this->open[descriptor];
+  while (!connection.outgoing.empty()) {
+    const ssize_t sent = send(descriptor, connection.outgoing.data(),
+                              connection.outgoing.size(), MSG_NOSIGNAL);
+    if (sent < 0 && errno == EAGAIN) {
+      if (!connection.writer) {
+        connection.writer =
+            std::make_unique<IoWatcher>(this->loop, [this, descriptor](int) {
+              this->stopped_watchers.clear();
+              this->Flush(descriptor);
+            });
+        connection.writer->Start(descriptor, EV_WRITE);
+      }
+      return true;
+    }
+    if (sent < 0) {
+      this->End(descriptor, ConnectionAction::kClose);
+      return false;
+    }
+    connection.outgoing.erase(0, static_cast<std::size_t>(sent));
+  }
+  if (connection.action_when_sent != ConnectionAction::kKeep &&
+      connection.endless.empty()) {
+    this->End(descriptor, connection.action_when_sent);
     return false;
   }
-  if (response.connection_action == ConnectionAction::kKeep) {
-    return true;
+  if (connection.writer && connection.endless.empty()) {
+    connection.writer->Stop();
+    this->stopped_watchers.push_back(std::move(connection.writer));
   }
-  this->End(descriptor, response.connection_action);
-  return false;
+  return true;
+}
+
+bool ScriptedServer::SendStrayBytes(int descriptor) {
+  Connection& connection = this->open[descriptor];
+  connection.outgoing += std::exchange(connection.stray_bytes, {});
+  return this->Flush(descriptor);
 }
 
 void ScriptedServer::ContinueEndlessBody(int descriptor) {
   this->stopped_watchers.clear();
-  const std::string& endless = this->open[descriptor].endless;
+  Connection& connection = this->open[descriptor];
+  const std::string& endless = connection.endless;
+  if (!connection.outgoing.empty()) {
+    this->Flush(descriptor);
+    return;
+  }
   const ssize_t sent =
       send(descriptor, endless.data(), endless.size(), MSG_NOSIGNAL);
   if (sent < 0 && errno != EAGAIN) {
@@ -230,9 +286,12 @@
   }
   auto node = this->open.extract(descriptor);
   node.mapped().watcher->Stop();
-  if (node.mapped().delayed_response) {
-    node.mapped().delayed_response->Stop();
-    this->stopped_timers.push_back(std::move(node.mapped().delayed_response));
+  for (auto& timer :
+       {&node.mapped().delayed_response, &node.mapped().stray_timer}) {
+    if (*timer) {
+      (*timer)->Stop();
+      this->stopped_timers.push_back(std::move(*timer));
+    }
   }
   // The watcher may be the one whose callback is running, so it is destroyed
   // later.
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -33,6 +33,11 @@
   std::string endless_body = "";
   // Time from the request to the response.
   Duration delay = Duration(0);
+  // Sent on the kept connection once `stray_delay` has passed since `bytes`, or
+  // as soon as the next request has arrived, whichever comes first. With a
+  // delay of 0, sent together with `bytes`.
+  std::string stray_bytes = "";
+  Duration stray_delay = Duration(0);
 };
 
 // A TCP server on loopback that responds to each request with the bytes that a
@@ -59,6 +64,10 @@
   // Makes the server respond as soon as it has received the headers of a
   // request, before the body has arrived.
   void RespondBeforeBody() { this->is_responding_early = true; }
+  // Accepts no connections until ResumeAccepting() is called. At most two wait
+  // meanwhile, and the kernel drops the attempts to connect beyond these.
+  void PauseAccepting();
+  void ResumeAccepting();
 
  private:
   struct Connection {
@@ -68,6 +77,10 @@
     std::string endless;
     std::unique_ptr<IoWatcher> writer;
     std::unique_ptr<Timer> delayed_response;
+    std::string outgoing;  // not yet sent
+    ConnectionAction action_when_sent = ConnectionAction::kKeep;
+    std::string stray_bytes;
+    std::unique_ptr<Timer> stray_timer;
   };
 
   void Accept();
@@ -75,6 +88,9 @@
   bool HandleNextRequest(int descriptor, Connection& connection);
   bool Respond(int descriptor, const RawRequest& request);
   bool SendResponse(int descriptor, const RawResponse& response);
+  // Sends what is outgoing. Returns whether the connection is still open.
+  bool Flush(int descriptor);
+  bool SendStrayBytes(int descriptor);  // likewise
   void ContinueEndlessBody(int descriptor);
   void End(int descriptor, ConnectionAction action);
 
