tests: Disturb the aggregator around the soak's leaving servers

A leaving server is missed longest if the aggregator is disturbed just after the store acknowledged it, before the aggregator has read it. Its standby is disturbed too at times.

--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -61,7 +61,7 @@
 
 // Generates random faults for a run of `length`, ordered by time. Faults may
 // overlap. The same seed gives the same faults. Servers leave all the time,
-// most of them while or just after the aggregator is disturbed. Three in four
+// most of them close to a fault of the aggregator. Three in four
 // seeds have no faults of the store or of all instances.
 std::vector<Fault> GenerateFaultSchedule(std::uint64_t seed,
                                          Duration length,
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -62,7 +62,8 @@
   void AddStrayBytes(RawResponse& response, int server);
   void LetServerLeave(const Fault& fault);
   void UpdateServers();
-  // Returns the instance that last reported to be the aggregator.
+  // Returns the running instance that last reported to be the aggregator, or
+  // else its standby.
   int FindAggregator() const;
   void WatchOwnLoop();
   int RandomInt(int low, int high);
