--- a/tests/gateway/foreign_bytes_test.cc
+++ b/tests/gateway/foreign_bytes_test.cc
@@ -310,8 +310,8 @@
       fixture.SendNext([&](const RawRequest& request) {
         const std::string own = fixture.Record(request, shape);
         return is_late ? RawResponse{.bytes = own,
-                                     .late_bytes = excess,
-                                     .late_after = milliseconds(5)}
+                                     .stray_bytes = excess,
+                                     .stray_delay = milliseconds(5)}
                        : RawResponse{own + excess};
       });
   INFO("body '" << shape.body << "', status " << shape.status << ", "
