http: Relay a request body to its end when the response begins early

Cause: ServerExchange discarded the client's body as soon as a response had begun, and then reported its end, which went to the server as the end of the upload. A body whose reader has gone is aborted instead of ended.

FIXME: a server that responds early and never reads the rest is given up at the deadline, though its response is ready.

--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -85,6 +85,7 @@
   void Send(ServerReservation reservation);
   CallRequest MakeCall() const;
   BodyChunk ReadBody(char* buffer, std::size_t capacity);
+  bool is_body_relayed() const;
   void OnHead(int status, const HeaderList& headers);
   std::optional<AttemptResult> FindFailure() const;
   bool OnData(std::string_view data);
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -140,6 +140,12 @@
                          capacity);
 }
 
+// Returns whether the whole request body has been passed on.
+bool ProxiedRequest::is_body_relayed() const {
+  return this->exchange->is_body_complete() &&
+         this->attempt.body_bytes_sent == this->body.size();
+}
+
 void ProxiedRequest::OnHead(int status, const HeaderList& headers) {
   this->attempt.status = status;
   this->attempt.headers = headers;
@@ -201,9 +207,12 @@
     return true;
   }
   this->attempt.buffered_response += data;
-  const std::size_t max_buffered = this->route().is_idempotent
-                                       ? kMaxBufferedIdempotentBytes
-                                       : kMaxBufferedOtherBytes;
+  // The client reads nothing before it has sent the whole request, so that a
+  // response which begins earlier would fill the buffers and block the server.
+  const std::size_t max_buffered =
+      this->route().is_idempotent || !this->is_body_relayed()
+          ? kMaxBufferedIdempotentBytes
+          : kMaxBufferedOtherBytes;
   if (this->attempt.buffered_response.size() > max_buffered) {
     this->BeginResponse(
         ParseUnsignedHeader(this->attempt.headers, "Content-Length"));
--- a/libraries/http/bind_call_handlers.h
+++ b/libraries/http/bind_call_handlers.h
@@ -19,7 +19,7 @@
 };
 
 // Returns handlers that call the given methods on the owner while it exists.
-// Once it has been destroyed, the request body ends and response data is
+// Once it has been destroyed, the request body is aborted and response data is
 // discarded.
 template <typename Owner>
 CallHandlers BindCallHandlers(std::weak_ptr<Owner> weak,
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -225,7 +225,7 @@
   call->is_in_callback = true;
   const BodyChunk chunk = call->handlers.read_body(buffer, size);
   call->is_in_callback = false;
-  if (call->has_ended) {
+  if (call->has_ended || chunk.state == BodyState::kAborted) {
     return CURL_READFUNC_ABORT;
   }
   call->is_request_body_paused = chunk.state == BodyState::kNotReady;
--- a/libraries/http/http_call.h
+++ b/libraries/http/http_call.h
@@ -51,11 +51,13 @@
   std::string detail;
 };
 
-// What `CallHandlers::read_body` found: data, no data yet, or the end.
-enum class BodyState { kData, kNotReady, kEnd };
+// What `CallHandlers::read_body` found: data, no data yet, or the end. After
+// kAborted the body cannot be completed: the call fails and its connection is
+// closed.
+enum class BodyState { kData, kNotReady, kEnd, kAborted };
 
 struct BodyChunk {
-  BodyState state = BodyState::kEnd;
+  BodyState state = BodyState::kAborted;
   std::size_t size = 0;  // bytes written to the buffer
 };
 
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -94,8 +94,8 @@
     return MHD_NO;
   }
   if (*size > 0) {
-    if (this->has_response) {
-      *size = 0;  // A response was begun; the rest of the body is discarded.
+    if (this->is_response_complete) {
+      *size = 0;  // Nobody reads the rest of the body.
       return MHD_YES;
     }
     const std::size_t room =
@@ -114,7 +114,7 @@
   }
   if (!this->is_upload_complete) {
     this->is_upload_complete = true;
-    if (!this->has_response && this->handlers.on_body) {
+    if (!this->is_response_complete && this->handlers.on_body) {
       this->handlers.on_body();
     }
   }
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -56,7 +56,8 @@
   void Respond(int status, HeaderList headers, std::string body);
 
   // Starts a streamed response. `length` is that of the body in bytes, if it is
-  // known.
+  // known. The request body can still be read; the response is sent once its
+  // end has arrived.
   void BeginResponse(int status,
                      HeaderList headers,
                      std::optional<std::uint64_t> length);
@@ -65,7 +66,8 @@
   }
   void Write(std::string_view data);
 
-  // Marks the response body as complete.
+  // Marks the response body as complete. What is left of the request body is
+  // discarded.
   void Finish();
 
   // Closes the connection after the data written so far, so that the client
--- a/tests/gateway/request_framing_test.cc
+++ b/tests/gateway/request_framing_test.cc
@@ -1,9 +1,11 @@
-// Clients whose requests state their end in two ways.
+// Clients whose requests state their end in two ways, and servers that respond
+// before they have read the whole request.
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <string>
@@ -16,6 +18,7 @@
 
 // More than an instance buffers of a request body.
 constexpr std::size_t kLongBodyBytes = 70'000;
+constexpr std::size_t kUploadBytes = 2'000'000;
 
 // Sends the bytes to the gateway of the fixture, and returns what it responds
 // until it closes the connection or the timeout expires.
@@ -109,5 +112,33 @@
   CHECK(received.head.find("\r\n ") == std::string::npos);
 }
 
+// Guards against an upload that is ended or left short on a kept connection
+// because the response to it has begun.
+TEST_CASE("an upload is passed on whole though the server responds early") {
+  const bool is_chunked = GENERATE(true, false);
+  const std::size_t response_bytes = GENERATE(2, 100'000, 600'000);
+  INFO("chunked " << is_chunked << ", response of " << response_bytes);
+  OneServer fixture(Good(std::string(response_bytes, 'r')));
+  fixture.server.RespondBeforeBody();
+  const std::string body(kUploadBytes, 'u');
+  const std::string upload =
+      is_chunked
+          ? Head("POST", "Transfer-Encoding: chunked\r\n") + Chunk(body) +
+                Chunk("")
+          : Head("POST",
+                 "Content-Length: " + std::to_string(kUploadBytes) + "\r\n") +
+                body;
+  const std::string response = Exchange(fixture, upload, seconds(1));
+  CHECK(response.starts_with("HTTP/1.1 200 "));
+  // The server records the request a second time when its body is complete.
+  if (fixture.server.requests().size() > 1) {
+    const std::string& received = fixture.server.requests()[1].body;
+    CHECK(std::ranges::count(received, 'u') ==
+          static_cast<std::ptrdiff_t>(kUploadBytes));
+    CHECK(received.find("HTTP/1.1") == std::string::npos);
+  }
+  CHECK(fixture.server.requests().size() == 2);
+}
+
 }  // namespace
 }  // namespace parsleyquay
