--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -135,12 +135,10 @@
   call.connection_use = this->route().is_idempotent ? ConnectionUse::kReusable
                                                     : ConnectionUse::kFresh;
   call.connect_timeout = std::min(kConnectTimeout, this->time_left());
-  const auto length =
-      ParseUnsignedHeader(this->exchange->headers(), "Content-Length");
-  call.has_body =
-      length || FindHeader(this->exchange->headers(), "Transfer-Encoding");
-  call.body_length =
-      this->is_body_fully_buffered ? std::optional(this->body.size()) : length;
+  call.has_body = this->framing.has_body;
+  call.body_length = this->is_body_fully_buffered
+                         ? std::optional(this->body.size())
+                         : this->framing.length;
   return call;
 }
 
@@ -150,6 +148,12 @@
                          capacity);
 }
 
+// Returns whether the whole request body has been passed on.
+bool ProxiedRequest::is_body_relayed() const {
+  return this->exchange->is_body_complete() &&
+         this->attempt.body_bytes_sent == this->body.size();
+}
+
 // Called when the connection is ready. The server may have begun to leave since
 // it was chosen.
 bool ProxiedRequest::MaySend(const CallConnection& connection) {
@@ -234,9 +238,12 @@
     return true;
   }
   this->attempt.buffered_response += data;
-  const std::size_t max_buffered = this->route().is_idempotent
-                                       ? kMaxBufferedIdempotentBytes
-                                       : kMaxBufferedOtherBytes;
+  // The client reads nothing before it has sent the whole request, so that a
+  // response which begins earlier would fill the buffers and block the server.
+  const std::size_t max_buffered =
+      this->route().is_idempotent || !this->is_body_relayed()
+          ? kMaxBufferedIdempotentBytes
+          : kMaxBufferedOtherBytes;
   if (this->attempt.buffered_response.size() > max_buffered) {
     this->BeginResponse(
         ParseUnsignedHeader(this->attempt.headers, "Content-Length"));
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -26,11 +26,13 @@
 ServerExchange::ServerExchange(HttpServer& server,
                                MHD_Connection* connection,
                                std::string method,
-                               std::string target)
+                               std::string target,
+                               std::string version)
     : server(server),
       connection(connection),
       request_method(std::move(method)),
       request_target(std::move(target)),
+      request_version(std::move(version)),
       disconnect_watcher(server.loop(),
                          [this](int) { this->OnSocketReadable(); }) {
   MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
@@ -92,8 +94,8 @@
     return MHD_NO;
   }
   if (*size > 0) {
-    if (this->has_response) {
-      *size = 0;  // A response was begun; the rest of the body is discarded.
+    if (this->is_response_complete) {
+      *size = 0;  // Nobody reads the rest of the body.
       return MHD_YES;
     }
     const std::size_t room =
@@ -112,7 +114,7 @@
   }
   if (!this->is_upload_complete) {
     this->is_upload_complete = true;
-    if (!this->has_response && this->handlers.on_body) {
+    if (!this->is_response_complete && this->handlers.on_body) {
       this->handlers.on_body();
     }
   }
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -34,11 +34,14 @@
   ServerExchange(HttpServer& server,
                  MHD_Connection* connection,
                  std::string method,
-                 std::string target);
+                 std::string target,
+                 std::string version);
   ~ServerExchange();
 
   const std::string& method() const { return this->request_method; }
   const std::string& target() const { return this->request_target; }
+  // Returns the HTTP version as in the request line, such as "HTTP/1.1".
+  const std::string& version() const { return this->request_version; }
   const HeaderList& headers() const { return this->request_headers; }
   void SetHandlers(ExchangeHandlers handlers);
 
@@ -53,7 +56,8 @@
   void Respond(int status, HeaderList headers, std::string body);
 
   // Starts a streamed response. `length` is that of the body in bytes, if it is
-  // known.
+  // known. The request body can still be read; the response is sent once its
+  // end has arrived.
   void BeginResponse(int status,
                      HeaderList headers,
                      std::optional<std::uint64_t> length);
@@ -62,7 +66,8 @@
   }
   void Write(std::string_view data);
 
-  // Marks the response body as complete.
+  // Marks the response body as complete. What is left of the request body is
+  // discarded.
   void Finish();
 
   // Closes the connection after the data written so far, so that the client
@@ -87,6 +92,7 @@
   MHD_Connection* connection;
   std::string request_method;
   std::string request_target;
+  std::string request_version;
   HeaderList request_headers;
   ExchangeHandlers handlers;
   IoWatcher disconnect_watcher;
