--- a/tests/gateway/foreign_bytes_test.cc
+++ b/tests/gateway/foreign_bytes_test.cc
@@ -141,7 +141,7 @@
   int next_id = 0;
 };
 
-const ResponseShape kEarlier = {.body = "earlier"};
+const ResponseShape earlier_shape = {.body = "earlier"};
 
 // Guards against a success where the server responded with a failure: the
 // server repeats a part of its earlier response before its own response.
@@ -152,7 +152,7 @@
   const int status = GENERATE(500, 404, 200);
   const bool is_prefix = GENERATE(true, false);
   RecordingServer fixture;
-  ResponseShape earlier = kEarlier;
+  ResponseShape earlier = earlier_shape;
   earlier.framing = framing;
   earlier.order = order;
   const ResponseShape own{.status = status, .framing = framing, .order = order};
@@ -183,7 +183,7 @@
   const int status = GENERATE(500, 404, 200);
   RecordingServer fixture;
   for (std::size_t size = 0; size <= interim.size(); ++size) {
-    fixture.SendProper(kEarlier);
+    fixture.SendProper(earlier_shape);
     const BufferedResponse response =
         fixture.SendNext([&](const RawRequest& request) {
           return RawResponse{interim.substr(0, size) +
@@ -200,7 +200,7 @@
   std::string id_line = "Request-Id: ID\r\n";
 };
 
-const std::vector<BadHead> kBadHeads = {
+const std::vector<BadHead> bad_heads = {
     {.status_line = "HTTP/HTTP/1.1 500 Err\r\n"},
     {.status_line = "HTTP/x.1 500 Err\r\n"},
     {.status_line = "HTTP/1.1 200 OKHTTP/1.1 500 Err\r\n"},
@@ -255,17 +255,17 @@
 // Guards against facts of a response that come from a head which cannot be read
 // in full, and against the use of its connection for the next request.
 TEST_CASE("a head that cannot be read in full ends the connection") {
-  for (const BadHead& bad : kBadHeads) {
+  for (const BadHead& bad : bad_heads) {
     INFO(bad.status_line << bad.id_line << bad.more_headers);
     RecordingServer fixture;
-    fixture.SendProper(kEarlier);
+    fixture.SendProper(earlier_shape);
     const BufferedResponse response =
         fixture.SendNext([&](const RawRequest& request) {
           return MakeBadResponse(bad, request);
         });
     CHECK(response.status == 502);
     CHECK(HeaderValueOrEmpty(response.headers, "Response-Signature").empty());
-    fixture.SendProper(kEarlier);
+    fixture.SendProper(earlier_shape);
     CHECK(fixture.server.connections() == 2);
   }
 }
@@ -286,12 +286,12 @@
 TEST_CASE("a response to another request ends the connection") {
   const std::string body = GENERATE("", "body");
   RecordingServer fixture;
-  fixture.SendProper(kEarlier);
+  fixture.SendProper(earlier_shape);
   const BufferedResponse response = fixture.SendNext([&](const RawRequest&) {
     return RawResponse{Head("r-other", "sig", {.body = body}) + body};
   });
   CHECK(response.status == 502);
-  fixture.SendProper(kEarlier);
+  fixture.SendProper(earlier_shape);
   CHECK(fixture.server.connections() == 2);
 }
 
@@ -301,11 +301,11 @@
       ResponseShape{.body = "length"},
       ResponseShape{.body = "chunked", .framing = Framing::kChunked},
       ResponseShape{.body = ""}, ResponseShape{.status = 204, .body = ""});
-  const std::string excess =
-      GENERATE(std::string("x"), Head("r-other", "sig", kEarlier) + "earlier");
+  const std::string excess = GENERATE(
+      std::string("x"), Head("r-other", "sig", earlier_shape) + "earlier");
   const bool is_late = GENERATE(false, true);
   RecordingServer fixture;
-  fixture.SendProper(kEarlier);
+  fixture.SendProper(earlier_shape);
   const BufferedResponse response =
       fixture.SendNext([&](const RawRequest& request) {
         const std::string own = fixture.Record(request, shape);
@@ -319,7 +319,7 @@
   CHECK(response.status == shape.status);
   fixture.CheckTrue(response);
   fixture.RunFor(milliseconds(20));
-  fixture.SendProper(kEarlier);
+  fixture.SendProper(earlier_shape);
   CHECK(fixture.server.connections() == 2);
 }
 
@@ -327,7 +327,7 @@
 TEST_CASE("a second response with the id of the request changes nothing") {
   const int first = GENERATE(200, 404);
   RecordingServer fixture;
-  fixture.SendProper(kEarlier);
+  fixture.SendProper(earlier_shape);
   const BufferedResponse response =
       fixture.SendNext([&](const RawRequest& request) {
         const std::string own = fixture.Record(request, {.status = first});
@@ -337,7 +337,7 @@
       });
   CHECK(response.status == first);
   CHECK(response.body == "own!");
-  fixture.SendProper(kEarlier);
+  fixture.SendProper(earlier_shape);
   CHECK(fixture.server.connections() == 2);
 }
 
@@ -345,7 +345,7 @@
 TEST_CASE("proper responses keep their connection") {
   RecordingServer fixture;
   for (int i = 0; i < 10; ++i) {
-    fixture.SendProper(kEarlier);
+    fixture.SendProper(earlier_shape);
     fixture.SendProper({.status = 404, .order = HeaderOrder::kIdLast});
     fixture.SendProper({.body = "chunked", .framing = Framing::kChunked});
     fixture.SendProper({.body = ""});
--- a/tests/http/chunked_body_test.cc
+++ b/tests/http/chunked_body_test.cc
@@ -6,27 +6,27 @@
 namespace parsleyquay {
 namespace {
 
-const std::string kWhole =
+const std::string whole =
     "7\r\ntwelve \r\n05;a=b\r\nbytes\r\n0\r\nX-Trailer: 1\r\n\r\n";
 
 TEST_CASE("a chunked body is decoded wherever it is split") {
-  for (std::size_t size = 0; size <= kWhole.size(); ++size) {
+  for (std::size_t size = 0; size <= whole.size(); ++size) {
     INFO(size);
     ChunkedBody body;
-    const DecodedChunks first = DecodeChunks(body, kWhole.substr(0, size));
-    CHECK(body.is_complete() == (size == kWhole.size()));
-    const DecodedChunks rest = DecodeChunks(body, kWhole.substr(size));
+    const DecodedChunks first = DecodeChunks(body, whole.substr(0, size));
+    CHECK(body.is_complete() == (size == whole.size()));
+    const DecodedChunks rest = DecodeChunks(body, whole.substr(size));
     CHECK(first.data + rest.data == "twelve bytes");
-    CHECK(first.consumed + rest.consumed == kWhole.size());
+    CHECK(first.consumed + rest.consumed == whole.size());
     CHECK(body.is_complete());
   }
 }
 
 TEST_CASE("bytes after the end of a chunked body are not consumed") {
   ChunkedBody body;
-  const DecodedChunks decoded = DecodeChunks(body, kWhole + "HTTP/1.1 200");
+  const DecodedChunks decoded = DecodeChunks(body, whole + "HTTP/1.1 200");
   CHECK(body.is_complete());
-  CHECK(decoded.consumed == kWhole.size());
+  CHECK(decoded.consumed == whole.size());
 }
 
 TEST_CASE("a malformed chunked body is recognized") {
