http: Reuse connections where received bytes are not counted

Only a count that is too high now ends the connection. Bytes after the last chunk are seen without the count.

foreign_bytes and gateway_proxying pass.

--- a/libraries/http/connection_state.h
+++ b/libraries/http/connection_state.h
@@ -18,7 +18,7 @@
 
 // Returns how many bytes the kernel has received on the connection, whether or
 // not they have been read; an end of the stream counts as one. Returns
-// std::nullopt if the kernel does not tell.
+// std::nullopt if the system does not tell.
 std::optional<std::uint64_t> CountReceivedBytes(int socket);
 
 }  // namespace parsleyquay
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -301,11 +301,12 @@
   if (!this->HasReachedKnownEnd()) {
     return;
   }
+  // A system that does not count the bytes tells none or too few.
   const auto received = CountReceivedBytes(this->socket);
-  const bool is_clean = received && this->received_before &&
-                        *received == *this->received_before +
-                                         this->header_bytes + this->body_bytes;
-  if (!is_clean) {
+  const bool has_excess = received && this->received_before &&
+                          *received > *this->received_before +
+                                          this->header_bytes + this->body_bytes;
+  if (has_excess) {
     curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
   }
 }
@@ -352,6 +353,9 @@
     call->failure = "malformed chunked response body";
     return 0;
   }
+  if (consumed < size) {
+    curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+  }
   call->CheckForExcess();
   return size;
 }
