gateway: Get missed server changes from a peer when the store is unavailable

Responses to several members are spaced by 50 ms. Lists of more than 500 servers are not sent, as before.

--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -280,6 +280,20 @@
   return request;
 }
 
+Json::Value EncodeServerListRequest(const ServerListRequest& request) {
+  Json::Value parameters;
+  parameters["f"] = request.sender;
+  return parameters;
+}
+
+std::optional<ServerListRequest> DecodeServerListRequest(
+    const Json::Value& parameters) {
+  if (!parameters["f"].isString()) {
+    return std::nullopt;
+  }
+  return ServerListRequest{parameters["f"].asString()};
+}
+
 Json::Value EncodeOutcome(const OutcomeReport& report) {
   Json::Value parameters;
   parameters["s"] = report.server;
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -70,6 +70,14 @@
   bool operator==(const MemberListRequest&) const = default;
 };
 
+// A request to a member for its full list of servers, sent by a member that
+// misses changes and cannot read them from the store.
+struct ServerListRequest {
+  std::string sender;  // name of the member that requests it
+
+  bool operator==(const ServerListRequest&) const = default;
+};
+
 // The RPC method of a notification that carries a digest.
 constexpr char kDigestMethod[] = "digest";
 
@@ -90,6 +98,9 @@
 Json::Value EncodeMemberListRequest(const MemberListRequest& request);
 std::optional<MemberListRequest> DecodeMemberListRequest(
     const Json::Value& parameters);
+Json::Value EncodeServerListRequest(const ServerListRequest& request);
+std::optional<ServerListRequest> DecodeServerListRequest(
+    const Json::Value& parameters);
 Json::Value EncodeOutcome(const OutcomeReport& report);
 std::optional<OutcomeReport> DecodeOutcome(const Json::Value& parameters);
 
--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -14,11 +14,16 @@
 constexpr char kHeartbeat[] = "heartbeat";
 constexpr char kOutcome[] = "outcome";
 constexpr char kFailedRequest[] = "unserved";
+constexpr char kServerListRequest[] = "servers_wanted";
 
 // Successful outcomes are shared within 250 ms, failures at once.
 constexpr Duration kTickInterval = milliseconds(250);
 constexpr Duration kUrgentDelay = milliseconds(5);
 constexpr Duration kMaxDigestInterval = milliseconds(500);
+
+// A list of servers takes up to 50 KB. The gap limits the responses to 8
+// Mbit/s, and those to a few members with short lists to much less.
+constexpr Duration kServerListGap = milliseconds(50);
 constexpr Duration kHeartbeatInterval = milliseconds(1'000);
 
 // An aggregator that sends no digest for this long is suspected: two missed
@@ -41,9 +46,9 @@
     .timeout = milliseconds(700)};
 
 std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
-  methods.insert(methods.end(),
-                 {kHeartbeat, kOutcome, kFailedRequest, kDigestMethod,
-                  MembershipSync::MemberListRequestMethod()});
+  methods.insert(methods.end(), {kHeartbeat, kOutcome, kFailedRequest,
+                                 kDigestMethod, kServerListRequest,
+                                 MembershipSync::MemberListRequestMethod()});
   return methods;
 }
 
@@ -73,7 +78,8 @@
                  this->OnMemberChanges(changes);
                }}),
       tick_timer(context.loop, [this] { this->OnTick(); }),
-      urgent_timer(context.loop, [this] { this->SendDigest(); }) {}
+      urgent_timer(context.loop, [this] { this->SendDigest(); }),
+      list_timer(context.loop, [this] { this->SendNextServerList(); }) {}
 
 void DisseminationAgent::Start() {
   this->started_at = this->context.Now();
@@ -182,6 +188,8 @@
     this->CollectFailedRequest(parameters["s"].asString());
   } else if (method == kDigestMethod) {
     this->OnDigest(parameters);
+  } else if (method == kServerListRequest) {
+    this->OnServerListRequest(parameters);
   } else if (method == MembershipSync::MemberListRequestMethod()) {
     this->membership_sync.OnMemberListRequest(parameters);
   } else {
@@ -254,6 +262,42 @@
   }
 }
 
+void DisseminationAgent::RequestServerList(const std::string& member) {
+  const std::string address = this->AddressOf(member);
+  if (this->context.peer_transport && !address.empty()) {
+    IncrementCounter(this->context.metrics, "server_lists_wanted");
+    this->context.peer_transport->Send(
+        address, kServerListRequest,
+        EncodeServerListRequest({this->context.settings.name}));
+  }
+}
+
+void DisseminationAgent::OnServerListRequest(const Json::Value& parameters) {
+  const auto request = DecodeServerListRequest(parameters);
+  if (!request) {
+    IncrementCounter(this->context.metrics, "peer_messages_malformed");
+    return;
+  }
+  if (this->list_requesters.empty()) {
+    this->list_timer.StartOnce(kServerListGap);
+  }
+  this->list_requesters.insert(request->sender);
+}
+
+void DisseminationAgent::SendNextServerList() {
+  const auto requester =
+      this->list_requesters.extract(this->list_requesters.begin());
+  const std::string address = this->AddressOf(requester.value());
+  Digest digest{.sender = this->context.settings.name};
+  if (!address.empty() && this->handlers.add_full_server_list(digest)) {
+    IncrementCounter(this->context.metrics, "server_lists_sent");
+    SendDigestInParts(this->context, {address}, std::move(digest));
+  }
+  if (!this->list_requesters.empty()) {
+    this->list_timer.StartOnce(kServerListGap);
+  }
+}
+
 void DisseminationAgent::OnDigest(const Json::Value& parameters) {
   const TimePoint now = this->context.Now();
   const auto digest = DecodeDigest(parameters, now);
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
     std::function<void(const Digest&)> on_digest;
     // Adds the state of other components to a digest before it is sent.
     std::function<void(Digest&)> fill_digest;
+    // Adds the full list of servers to a digest; returns whether it did.
+    std::function<bool(Digest&)> add_full_server_list;
     std::function<void(const AggregationRole&)> on_role_change;
     // Returns the shards that this instance owns, for its heartbeats.
     std::function<std::vector<long>()> owned_shards;
@@ -69,6 +72,10 @@
   // the aggregator or its standby. To be called after a read of the store.
   void ForwardServerList();
 
+  // Requests the full list of servers from a member, which sends it in a
+  // digest.
+  void RequestServerList(const std::string& member);
+
   // Deletes this instance's record from the store.
   void Leave(std::function<void()> on_done);
 
@@ -88,6 +95,8 @@
                             const std::string& failure_domain) const;
   void OnOutcome(const Json::Value& parameters);
   void OnDigest(const Json::Value& parameters);
+  void OnServerListRequest(const Json::Value& parameters);
+  void SendNextServerList();
   void OnTick();
   void UpdateRole();
   void CollectOutcome(const OutcomeReport& report);
@@ -108,6 +117,7 @@
   ChangeFeedReader<MemberChange> feed_reader;
   Timer tick_timer;
   Timer urgent_timer;
+  Timer list_timer;
   TimePoint started_at;
   bool has_reread_records = false;
   AggregationRole current_role;
@@ -120,6 +130,8 @@
   // Outcomes to be sent with the next digest.
   OutcomeSummary own_domain_outcomes;
   OutcomeSummary other_domain_outcomes;
+  // The members that have requested the list of servers.
+  std::set<std::string> list_requesters;
   TimePoint digest_sent_at;
   TimePoint heartbeat_sent_at;
 };
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -66,6 +66,10 @@
                  this->load_balancer.ResetServer(server);
                },
            .on_news = [this] { this->dissemination.SendDigestSoon(); },
+           .on_gap =
+               [this](const std::string& peer) {
+                 this->dissemination.RequestServerList(peer);
+               },
            .on_read = [this] { this->dissemination.ForwardServerList(); }}),
       load_balancer(
           this->context,
@@ -162,6 +166,10 @@
                     this->configuration_watcher.newest_known_position();
                 this->server_discovery.AddChangesToDigest(digest);
               },
+          .add_full_server_list =
+              [this](Digest& digest) {
+                return this->server_discovery.AddFullListToDigest(digest);
+              },
           .on_role_change =
               [this](const AggregationRole& role) { this->OnRoleChange(role); },
           .owned_shards = [this] { return this->rate_limiter.OwnedShards(); },
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -139,6 +139,9 @@
                                                  digest.server_changes)) {
     this->LogGap(digest);
     this->feed_reader.ReadNow();
+    if (!this->is_available()) {
+      this->handlers.on_gap(digest.sender);
+    }
   }
   this->digest_sender.clear();
 }
@@ -161,20 +164,31 @@
   if (!position) {
     return;
   }
-  digest.servers_from = this->sent_position.value_or(*position);
-  digest.servers_to = *position;
-  if (this->sent_position) {
+  if (!this->sent_position) {
+    this->AddFullListToDigest(digest);
+  } else {
     digest.server_changes = std::exchange(this->unsent_changes, {});
-  } else if (std::vector<ServerChange> list =
-                 ListedServers(this->server_roster);
-             list.size() <= kMaxListedServersPerDigest) {
-    digest.has_full_server_list = true;
-    digest.server_changes = std::move(list);
   }
+  digest.servers_from = this->sent_position.value_or(*position);
+  digest.servers_to = *position;
   digest.server_list_age = this->ListAge();
   this->sent_position = position;
 }
 
+bool ServerDiscovery::AddFullListToDigest(Digest& digest) const {
+  const auto position = this->feed_reader.position();
+  std::vector<ServerChange> list = ListedServers(this->server_roster);
+  if (!position || list.size() > kMaxListedServersPerDigest) {
+    return false;
+  }
+  digest.servers_from = *position;
+  digest.servers_to = *position;
+  digest.has_full_server_list = true;
+  digest.server_changes = std::move(list);
+  digest.server_list_age = this->ListAge();
+  return true;
+}
+
 const std::vector<std::string>& ServerDiscovery::ServersOfService(
     const std::string& service) const {
   static const std::vector<std::string> none;
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -34,6 +34,9 @@
     std::function<void(const std::string& server)> on_new_incarnation;
     // Called when there is something to forward in a digest without delay.
     std::function<void()> on_news;
+    // Called when the peer has told of changes that this instance misses and
+    // the store is unavailable to it.
+    std::function<void(const std::string& peer)> on_gap;
     // Called when the list has been read from the store.
     std::function<void()> on_read;
   };
@@ -56,6 +59,10 @@
   // if peers cannot be assumed to know what this instance knew before.
   void AddChangesToDigest(Digest& digest);
 
+  // Adds the full list of servers to a digest. Returns false, without adding
+  // it, if the list is unknown or too long for a datagram.
+  bool AddFullListToDigest(Digest& digest) const;
+
   // The server at `address` has stated that it leaves. Has no effect if the
   // server is listed at another address by now.
   void MarkLeaving(const std::string& server, const std::string& address);
--- a/tests/gateway/aggregator_change_test.cc
+++ b/tests/gateway/aggregator_change_test.cc
@@ -32,9 +32,11 @@
               this->transport,
               PeerTransport::Create(
                   fixture.loop, this->record.peer_address, fixture.secret,
-                  {kDigestMethod, "heartbeat", "members_wanted"},
+                  {kDigestMethod, "heartbeat", "members_wanted",
+                   "servers_wanted"},
                   [this](const std::string& method,
                          const Json::Value& parameters) {
+                    this->has_been_asked |= method == "servers_wanted";
                     if (method == kDigestMethod) {
                       this->OnDigest(parameters);
                     }
@@ -49,6 +51,7 @@
     const TimePoint now = this->fixture.loop.Now();
     const auto digest = DecodeDigest(parameters, now);
     REQUIRE(digest);
+    this->full_lists += digest->has_full_server_list ? 1 : 0;
     for (const ServerChange& change : digest->server_changes) {
       const bool is_draining = change.listing && change.listing->is_draining;
       if (!change.listing || is_draining) {
@@ -75,6 +78,8 @@
   std::unique_ptr<PeerTransport> transport;
   // When a digest first told that a server drains or is gone.
   std::map<std::string, TimePoint> heard_to_leave;
+  int full_lists = 0;           // received
+  bool has_been_asked = false;  // for the list of servers
   Timer heartbeat_timer;
 };
 
@@ -148,5 +153,30 @@
   }
 }
 
+// Guards against an instance that never learns of a change because it has
+// missed a digest while the store turns it away.
+TEST_CASE("a gateway without the store asks a peer for the list of servers") {
+  GatewayAndMember fleet(true);
+  fleet.RunFor(seconds(2));
+  fleet.member->Send({.servers_from = 1, .servers_to = 1});
+  fleet.servers.SetAvailable(false);
+  fleet.RunFor(milliseconds(1'500));
+  REQUIRE_FALSE(fleet.member->has_been_asked);
+  fleet.member->Send({.servers_from = 4, .servers_to = 5});
+  CHECK(fleet.Await([&] { return fleet.member->has_been_asked; }, seconds(1)));
+}
+
+TEST_CASE("a gateway sends the list of servers to a peer that asks for it") {
+  GatewayAndMember fleet(false);
+  fleet.member->heartbeat_timer.StartRepeating(seconds(1));
+  fleet.RunFor(seconds(3));
+  const int before = fleet.member->full_lists;
+  fleet.member->transport->Send(
+      fleet.settings.peer_address, "servers_wanted",
+      EncodeServerListRequest({fleet.member->record.name}));
+  CHECK(fleet.Await([&] { return fleet.member->full_lists > before; },
+                    seconds(1)));
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -21,16 +21,20 @@
         loop, GatewaySettings(), this->http, std::move(coordination),
         platform::MakePlatformWireProtocol());
     this->discovery = std::make_unique<ServerDiscovery>(
-        *this->context, ServerDiscovery::Handlers{
-                            .on_new_incarnation = [](const std::string&) {},
-                            .on_news = [] {},
-                            .on_read = [] {}});
+        *this->context,
+        ServerDiscovery::Handlers{
+            .on_new_incarnation = [](const std::string&) {},
+            .on_news = [] {},
+            .on_gap =
+                [this](const std::string& peer) { this->asked_peer = peer; },
+            .on_read = [] {}});
   }
 
   bool Lists(const std::string& server) const {
     return this->discovery->roster().servers.contains(server);
   }
 
+  std::string asked_peer;  // for the full list
   FakeFeed<ServerChange> feed;
   HttpClient http;
   std::unique_ptr<GatewayContext> context;
@@ -226,6 +230,34 @@
   CHECK(fleet.RemoveAndMeasure() < kRemovalBound);
 }
 
+// Guards against an instance that keeps an old list because it has missed a
+// digest while the store turns it away.
+TEST_CASE("an instance without the store gets a missed change from a peer") {
+  ReaderAndMember fleet;
+  fleet.member.feed.SetAvailable(false);
+  fleet.digest_timer.Stop();
+  fleet.reader.feed.Append({"s-leaves", std::nullopt});
+  REQUIRE(RunLoopUntil(
+      fleet.loop, [&] { return !fleet.reader.Lists("s-leaves"); }, seconds(2)));
+  Digest lost{.sender = "reader"};
+  fleet.reader.discovery->AddChangesToDigest(lost);
+  fleet.reader.feed.Append(Listed("s-new"));
+  REQUIRE(RunLoopUntil(
+      fleet.loop,
+      [&] {
+        return fleet.reader.Lists("s-new") &&
+               !fleet.member.discovery->is_available();
+      },
+      seconds(3)));
+  fleet.SendDigest();
+  REQUIRE(fleet.member.asked_peer == "reader");
+  Digest list{.sender = "reader"};
+  REQUIRE(fleet.reader.discovery->AddFullListToDigest(list));
+  fleet.member.discovery->ApplyDigest(list);
+  CHECK_FALSE(fleet.member.Lists("s-leaves"));
+  CHECK(fleet.member.Lists("s-new"));
+}
+
 // Guards against requests to a server whose listing was removed, from an
 // instance that takes one failed read for an outage in which listings expire.
 TEST_CASE("a removed server is not kept after one failed read of the list") {
