gateway: Read the server list less often while the store is slow

With reads of 0.6 s the list is older than the limit of 1.0 to 1.2 s at most instances most of the time. Each of them then read it itself, twice in 1.5 s, as the first try timed out after 0.4 s: a slow store would get more calls from every instance, at 850 instances more than a thousand a second (worked out).

--- a/libraries/gateway/list_age_limit.h
+++ b/libraries/gateway/list_age_limit.h
@@ -29,8 +29,13 @@
 // So that the members of a large failure domain do not read at the same moment.
 constexpr Duration kOtherReadersSpread = milliseconds(100);
 
+// The time from which on a read of the list counts as slow.
+constexpr Duration kSlowListRead = milliseconds(400);
+
 // Returns the age of its list at which an instance reads it from the store.
-Duration ListAgeLimit(const ListReadOrder& order);
+// After `slow_reads` slow reads in a row the limit is longer, since more reads
+// would only make the store slower.
+Duration ListAgeLimit(const ListReadOrder& order, int slow_reads = 0);
 
 }  // namespace parsleyquay
 
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -217,14 +217,17 @@
 void ServerDiscovery::SetListKnownAt(TimePoint known_at) {
   this->list_known_at =
       std::max(this->list_known_at.value_or(known_at), known_at);
+  if (this->context.Now() - known_at < kSlowListRead) {
+    this->slow_reads = 0;
+  }
   this->ScheduleAgeRead();
 }
 
 // The read is sent at once if the list is too old already.
 void ServerDiscovery::ScheduleAgeRead() {
   if (const auto age = this->ListAge()) {
-    this->age_timer.StartOnce(
-        std::max(Duration(0), ListAgeLimit(this->read_order) - *age));
+    this->age_timer.StartOnce(std::max(
+        Duration(0), ListAgeLimit(this->read_order, this->slow_reads) - *age));
   }
 }
 
@@ -233,6 +236,7 @@
 }
 
 void ServerDiscovery::OnRead(TimePoint sent_at) {
+  ++this->slow_reads;  // unless the list turns out to be new
   this->SetListKnownAt(sent_at);
   if (this->became_reader_at) {
     const Duration passed = this->context.Now() - *this->became_reader_at;
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -119,6 +119,7 @@
   std::vector<ServerChange> unsent_changes;  // since `sent_position`
   ServerListSource source = ServerListSource::kPeers;
   ListReadOrder read_order;
+  int slow_reads = 0;  // in a row, see ListAgeLimit()
   // Set from a change of the source to the store until its first read ends.
   std::optional<TimePoint> became_reader_at;
   // The peer whose digest is being applied, or empty.
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -206,6 +206,18 @@
   CHECK(fleet.RemoveAndMeasure() < kRemovalBound);
 }
 
+// Guards against a slow store that gets slower because all instances read the
+// list, which none of them then gets in time.
+TEST_CASE("instances read the list rarely while the store is slow") {
+  ReaderAndMember fleet;
+  fleet.reader.feed.SetReadTime(milliseconds(600));
+  fleet.member.feed.SetReadTime(milliseconds(600));
+  fleet.RunFor(seconds(4));
+  const std::uint64_t before = fleet.member.feed.sent_reads();
+  fleet.RunFor(seconds(6));
+  CHECK(fleet.member.feed.sent_reads() <= before + 4);
+}
+
 // Guards against calls to the store that instances of an earlier version cause
 // during a rolling restart: their digests do not state the age of the list.
 TEST_CASE("digests without the age of the list count as new") {
--- a/tests/support/fake_feed.h
+++ b/tests/support/fake_feed.h
@@ -48,6 +48,9 @@
   // The next `count` reads get no result and fail after their timeout.
   void SilenceReads(int count) { this->silent_reads = count; }
 
+  // Reads take this long. One whose timeout is shorter fails.
+  void SetReadTime(Duration duration) { this->read_time = duration; }
+
   // Returns how many reads have been sent.
   std::uint64_t sent_reads() const { return this->last_id; }
 
@@ -57,15 +60,17 @@
     typename ChangeFeed<Change>::OnRead on_read;
     bool waits = false;
     TimePoint times_out_at;
-    bool is_silent = false;
+    TimePoint ends_at;
     std::uint64_t id = 0;
   };
 
   CancelFeedRead AddRead(Read read) {
     const std::uint64_t id = ++this->last_id;
     read.id = id;
-    read.is_silent = this->silent_reads > 0;
-    this->silent_reads -= read.is_silent ? 1 : 0;
+    const bool is_silent = this->silent_reads > 0;
+    this->silent_reads -= is_silent ? 1 : 0;
+    read.ends_at =
+        is_silent ? TimePoint::max() : this->loop.Now() + this->read_time;
     this->reads.push_back(std::move(read));
     return [this, id] {
       std::erase_if(this->reads, [id](const Read& r) { return r.id == id; });
@@ -77,9 +82,10 @@
     std::swap(pending, this->reads);
     for (Read& read : pending) {
       const std::uint64_t from = read.position.value_or(0);
+      const TimePoint now = this->loop.Now();
       const bool has_timed_out =
-          read.is_silent && this->loop.Now() >= read.times_out_at;
-      if (read.is_silent && !has_timed_out) {
+          now >= read.times_out_at && read.ends_at > read.times_out_at;
+      if (now < read.ends_at && !has_timed_out) {
         this->reads.push_back(std::move(read));
       } else if (!this->is_available || has_timed_out) {
         read.on_read(
@@ -101,6 +107,7 @@
   std::deque<Read> reads;
   std::uint64_t last_id = 0;
   bool is_available = true;
+  Duration read_time = Duration(0);
   int silent_reads = 0;  // to come
   Timer timer;
 };
