--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -139,6 +139,9 @@
                                                  digest.server_changes)) {
     this->LogGap(digest);
     this->feed_reader.ReadNow();
+    if (!this->is_available()) {
+      this->handlers.on_gap(digest.sender);
+    }
   }
   this->digest_sender.clear();
 }
@@ -161,20 +164,31 @@
   if (!position) {
     return;
   }
-  digest.servers_from = this->sent_position.value_or(*position);
-  digest.servers_to = *position;
-  if (this->sent_position) {
+  if (!this->sent_position) {
+    this->AddFullListToDigest(digest);
+  } else {
     digest.server_changes = std::exchange(this->unsent_changes, {});
-  } else if (std::vector<ServerChange> list =
-                 ListedServers(this->server_roster);
-             list.size() <= kMaxListedServersPerDigest) {
-    digest.has_full_server_list = true;
-    digest.server_changes = std::move(list);
   }
+  digest.servers_from = this->sent_position.value_or(*position);
+  digest.servers_to = *position;
   digest.server_list_age = this->ListAge();
   this->sent_position = position;
 }
 
+bool ServerDiscovery::AddFullListToDigest(Digest& digest) const {
+  const auto position = this->feed_reader.position();
+  std::vector<ServerChange> list = ListedServers(this->server_roster);
+  if (!position || list.size() > kMaxListedServersPerDigest) {
+    return false;
+  }
+  digest.servers_from = *position;
+  digest.servers_to = *position;
+  digest.has_full_server_list = true;
+  digest.server_changes = std::move(list);
+  digest.server_list_age = this->ListAge();
+  return true;
+}
+
 const std::vector<std::string>& ServerDiscovery::ServersOfService(
     const std::string& service) const {
   static const std::vector<std::string> none;
@@ -203,14 +217,17 @@
 void ServerDiscovery::SetListKnownAt(TimePoint known_at) {
   this->list_known_at =
       std::max(this->list_known_at.value_or(known_at), known_at);
+  if (this->context.Now() - known_at < kSlowListRead) {
+    this->slow_reads = 0;
+  }
   this->ScheduleAgeRead();
 }
 
 // The read is sent at once if the list is too old already.
 void ServerDiscovery::ScheduleAgeRead() {
   if (const auto age = this->ListAge()) {
-    this->age_timer.StartOnce(
-        std::max(Duration(0), ListAgeLimit(this->read_order) - *age));
+    this->age_timer.StartOnce(std::max(
+        Duration(0), ListAgeLimit(this->read_order, this->slow_reads) - *age));
   }
 }
 
@@ -219,6 +236,7 @@
 }
 
 void ServerDiscovery::OnRead(TimePoint sent_at) {
+  ++this->slow_reads;  // unless the list turns out to be new
   this->SetListKnownAt(sent_at);
   if (this->became_reader_at) {
     const Duration passed = this->context.Now() - *this->became_reader_at;
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -21,16 +21,20 @@
         loop, GatewaySettings(), this->http, std::move(coordination),
         platform::MakePlatformWireProtocol());
     this->discovery = std::make_unique<ServerDiscovery>(
-        *this->context, ServerDiscovery::Handlers{
-                            .on_new_incarnation = [](const std::string&) {},
-                            .on_news = [] {},
-                            .on_read = [] {}});
+        *this->context,
+        ServerDiscovery::Handlers{
+            .on_new_incarnation = [](const std::string&) {},
+            .on_news = [] {},
+            .on_gap =
+                [this](const std::string& peer) { this->asked_peer = peer; },
+            .on_read = [] {}});
   }
 
   bool Lists(const std::string& server) const {
     return this->discovery->roster().servers.contains(server);
   }
 
+  std::string asked_peer;  // for the full list
   FakeFeed<ServerChange> feed;
   HttpClient http;
   std::unique_ptr<GatewayContext> context;
@@ -202,6 +206,18 @@
   CHECK(fleet.RemoveAndMeasure() < kRemovalBound);
 }
 
+// Guards against a slow store that gets slower because all instances read the
+// list, which none of them then gets in time.
+TEST_CASE("instances read the list rarely while the store is slow") {
+  ReaderAndMember fleet;
+  fleet.reader.feed.SetReadTime(milliseconds(600));
+  fleet.member.feed.SetReadTime(milliseconds(600));
+  fleet.RunFor(seconds(4));
+  const std::uint64_t before = fleet.member.feed.sent_reads();
+  fleet.RunFor(seconds(6));
+  CHECK(fleet.member.feed.sent_reads() <= before + 4);
+}
+
 // Guards against calls to the store that instances of an earlier version cause
 // during a rolling restart: their digests do not state the age of the list.
 TEST_CASE("digests without the age of the list count as new") {
@@ -226,6 +242,34 @@
   CHECK(fleet.RemoveAndMeasure() < kRemovalBound);
 }
 
+// Guards against an instance that keeps an old list because it has missed a
+// digest while the store turns it away.
+TEST_CASE("an instance without the store gets a missed change from a peer") {
+  ReaderAndMember fleet;
+  fleet.member.feed.SetAvailable(false);
+  fleet.digest_timer.Stop();
+  fleet.reader.feed.Append({"s-leaves", std::nullopt});
+  REQUIRE(RunLoopUntil(
+      fleet.loop, [&] { return !fleet.reader.Lists("s-leaves"); }, seconds(2)));
+  Digest lost{.sender = "reader"};
+  fleet.reader.discovery->AddChangesToDigest(lost);
+  fleet.reader.feed.Append(Listed("s-new"));
+  REQUIRE(RunLoopUntil(
+      fleet.loop,
+      [&] {
+        return fleet.reader.Lists("s-new") &&
+               !fleet.member.discovery->is_available();
+      },
+      seconds(3)));
+  fleet.SendDigest();
+  REQUIRE(fleet.member.asked_peer == "reader");
+  Digest list{.sender = "reader"};
+  REQUIRE(fleet.reader.discovery->AddFullListToDigest(list));
+  fleet.member.discovery->ApplyDigest(list);
+  CHECK_FALSE(fleet.member.Lists("s-leaves"));
+  CHECK(fleet.member.Lists("s-new"));
+}
+
 // Guards against requests to a server whose listing was removed, from an
 // instance that takes one failed read for an outage in which listings expire.
 TEST_CASE("a removed server is not kept after one failed read of the list") {
