tests: Let the stalled action use the processor that the check expects

The test took the time that passes for processor time. The action now runs until both are over, 0.9 s and 200 ms of processor. The checks are the same; the wait for the report is longer.

--- a/tests/event/loop_stall_detector_test.cc
+++ b/tests/event/loop_stall_detector_test.cc
@@ -1,6 +1,7 @@
 #include "event/loop_stall_detector.h"
 
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <optional>
 
 #include "support/await.h"
@@ -10,6 +11,7 @@
 
 constexpr Duration kLimit = milliseconds(500);
 constexpr Duration kStall = milliseconds(900);
+constexpr std::clock_t kBusyProcessorTime = CLOCKS_PER_SEC / 5;
 
 struct Watched {
   Watched() { this->detector.Start(); }
@@ -22,14 +24,18 @@
 
 TEST_CASE("an action that runs for long is reported with its CPU time") {
   Watched watched;
+  // On a busy machine the process gets the processor only for a part of the
+  // stall, so the action also waits until it has used enough of it.
   Timer busy(watched.loop, [&] {
     const TimePoint until = watched.loop.Now() + kStall;
-    while (watched.loop.Now() < until) {
+    const std::clock_t used_before = std::clock();
+    while (watched.loop.Now() < until ||
+           std::clock() - used_before < kBusyProcessorTime) {
     }
   });
   busy.StartOnce(milliseconds(1));
   REQUIRE(RunLoopUntil(
-      watched.loop, [&] { return watched.stall.has_value(); }, seconds(5)));
+      watched.loop, [&] { return watched.stall.has_value(); }, seconds(20)));
   CHECK(watched.stall->duration > kLimit);
   CHECK(watched.stall->cpu_time > milliseconds(100));
 }
