--- a/tests/support/fake_feed.h
+++ b/tests/support/fake_feed.h
@@ -85,13 +85,14 @@
       const TimePoint now = this->loop.Now();
       const bool has_timed_out =
           now >= read.times_out_at && read.ends_at > read.times_out_at;
-      if (now < read.ends_at && !has_timed_out) {
+      const bool has_ended = now >= read.ends_at || has_timed_out;
+      const bool waits_for_change = this->is_available && !has_timed_out &&
+                                    read.waits && from >= this->changes.size();
+      if (!has_ended || waits_for_change) {
         this->reads.push_back(std::move(read));
       } else if (!this->is_available || has_timed_out) {
         read.on_read(
             {.status = FeedReadStatus::kUnavailable, .detail = "test"});
-      } else if (read.waits && from >= this->changes.size()) {
-        this->reads.push_back(std::move(read));
       } else {
         const auto begin =
             this->changes.begin() + static_cast<std::ptrdiff_t>(from);
