--- a/libraries/entry/proxied_request_attempts.cc
+++ b/libraries/entry/proxied_request_attempts.cc
@@ -81,6 +81,8 @@
   const std::string* echo = FindHeader(headers, "X-Request-Id");
   if (echo && *echo != this->request_id) {
     this->attempt.is_mismatched = true;
+    // What follows on the connection may belong to another request too.
+    this->attempt.call->AbortAfterCallback();
     ++this->context.counters.wrong_answers;
     LogEvent(LogLevel::kWarning, "wrong_answer",
              {{"server", this->attempt.reservation->server},
