gateway: Ask a peer for missed servers when the read of a gap fails

An instance that missed a digest with a change, and to which the store did not respond, asked a peer for the list only at the first digest after its read had timed out: a gap is noticed while the store still counts as available.

The gap is remembered, and the peer is asked as soon as the read has failed.

--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -50,10 +50,7 @@
                },
            .on_availability =
                [this](bool is_available) {
-                 if (const auto outage = this->ListAge();
-                     is_available && outage) {
-                   this->StartLapseGracePeriodAfter(*outage);
-                 }
+                 this->OnAvailability(is_available);
                },
            .on_read = [this](TimePoint sent_at) { this->OnRead(sent_at); }}),
       removal_timer(context.loop, [this] { this->OnRemovalTimer(); }),
@@ -138,16 +135,31 @@
                                                  digest.servers_to,
                                                  digest.server_changes)) {
     this->LogGap(digest);
+    this->gap = {.peer = digest.sender, .end = digest.servers_to};
     this->feed_reader.ReadNow();
     if (!this->is_available()) {
-      this->handlers.on_gap(digest.sender);
+      this->AskPeerForGap();
     }
   }
   this->digest_sender.clear();
 }
 
+void ServerDiscovery::OnAvailability(bool is_available) {
+  if (!is_available) {
+    this->AskPeerForGap();
+  } else if (const auto outage = this->ListAge()) {
+    this->StartLapseGracePeriodAfter(*outage);
+  }
+}
+
+void ServerDiscovery::AskPeerForGap() {
+  if (this->feed_reader.position().value_or(0) < this->gap.end) {
+    this->handlers.on_gap(this->gap.peer);
+  }
+}
+
 void ServerDiscovery::LogGap(const Digest& digest) {
-  if (std::exchange(this->logged_gap, digest.servers_to) == digest.servers_to) {
+  if (this->gap.end == digest.servers_to) {
     return;
   }
   LogEvent(
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -96,6 +96,8 @@
   void OnRead(TimePoint sent_at);
   void Apply(const ServerChange& change);
   void LogChange(const ServerChange& change, RosterEvent event) const;
+  void OnAvailability(bool is_available);
+  void AskPeerForGap();
   void LogGap(const Digest& digest);
   void ApplyChangesInDigest(const Digest& digest);
   void SetListKnownAt(TimePoint known_at);
@@ -124,7 +126,12 @@
   std::optional<TimePoint> became_reader_at;
   // The peer whose digest is being applied, or empty.
   std::string digest_sender;
-  std::uint64_t logged_gap = 0;  // the position up to which changes are missing
+  // Changes that a digest has shown to be missing, until the position is past
+  // them.
+  struct {
+    std::string peer;  // that has them
+    std::uint64_t end = 0;
+  } gap;
   // The list contains all changes before this time.
   std::optional<TimePoint> list_known_at;
 };
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -270,6 +270,24 @@
   CHECK(fleet.member.Lists("s-new"));
 }
 
+// Guards against a missed change that an instance asks a peer for only after
+// one more digest, though its read of the store got no response.
+TEST_CASE("an instance asks a peer as soon as its read of a gap has failed") {
+  ReaderAndMember fleet;
+  fleet.digest_timer.Stop();
+  fleet.member.feed.SilenceReads(100);
+  fleet.reader.feed.Append({"s-leaves", std::nullopt});
+  REQUIRE(RunLoopUntil(
+      fleet.loop, [&] { return !fleet.reader.Lists("s-leaves"); }, seconds(2)));
+  Digest lost{.sender = "reader"};
+  fleet.reader.discovery->AddChangesToDigest(lost);
+  fleet.SendDigest();
+  constexpr Duration kReadTimeout = milliseconds(400);
+  CHECK(RunLoopUntil(
+      fleet.loop, [&] { return fleet.member.asked_peer == "reader"; },
+      kReadTimeout + milliseconds(100)));
+}
+
 // Guards against requests to a server whose listing was removed, from an
 // instance that takes one failed read for an outage in which listings expire.
 TEST_CASE("a removed server is not kept after one failed read of the list") {
