gateway: Make every fleet bound optional in the settings

The two new deployments state no bounds for cold servers.

A bound that is missing or has an empty value now keeps its documented default; a malformed one is still rejected.

--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -57,20 +57,40 @@
   settings.shortest_lease = ReadDuration(reader, "shortest_lease");
 }
 
+// Read a bound that a deployment need not state. The settings template then
+// leaves its value empty, and the bound keeps its default.
+void ReadOptionalDuration(SectionReader& reader,
+                          const std::string& key,
+                          Duration& bound) {
+  if (reader.IsStated(key)) {
+    bound = ReadDuration(reader, key);
+  }
+}
+
+void ReadOptionalNumber(SectionReader& reader,
+                        const std::string& key,
+                        NumberRange range,
+                        double& bound) {
+  if (reader.IsStated(key)) {
+    bound = reader.Number(key, range);
+  }
+}
+
 void ReadBounds(SectionReader& reader, GatewaySettings& settings) {
   FleetBounds& bounds = settings.bounds;
-  bounds.termination_grace_period = ReadDuration(reader, "grace");
-  bounds.address_lifetime = ReadDuration(reader, "address_lifetime");
-  bounds.retry_ratio = reader.Number("retry_ratio", kRatioRange);
-  bounds.retry_slack = reader.Number("retry_slack", kCountRange);
-  bounds.retry_window = ReadDuration(reader, "retry_window");
-  bounds.rate_limit_tolerance.window = ReadDuration(reader, "allowance_window");
-  bounds.rate_limit_tolerance.overshoot =
-      reader.Number("allowance_overshoot", kRatioRange);
-  bounds.rate_limit_tolerance.slack =
-      reader.Number("allowance_slack", kCountRange);
-  bounds.cold_overshoot = reader.Number("cold_overshoot", kRatioRange);
-  bounds.cold_slack = reader.Number("cold_slack", kCountRange);
+  RateLimitTolerance& tolerance = bounds.rate_limit_tolerance;
+  ReadOptionalDuration(reader, "grace", bounds.termination_grace_period);
+  ReadOptionalDuration(reader, "address_lifetime", bounds.address_lifetime);
+  ReadOptionalNumber(reader, "retry_ratio", kRatioRange, bounds.retry_ratio);
+  ReadOptionalNumber(reader, "retry_slack", kCountRange, bounds.retry_slack);
+  ReadOptionalDuration(reader, "retry_window", bounds.retry_window);
+  ReadOptionalDuration(reader, "allowance_window", tolerance.window);
+  ReadOptionalNumber(reader, "allowance_overshoot", kRatioRange,
+                     tolerance.overshoot);
+  ReadOptionalNumber(reader, "allowance_slack", kCountRange, tolerance.slack);
+  ReadOptionalNumber(reader, "cold_overshoot", kRatioRange,
+                     bounds.cold_overshoot);
+  ReadOptionalNumber(reader, "cold_slack", kCountRange, bounds.cold_slack);
 }
 
 struct SectionParser {
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -11,7 +11,9 @@
 
 namespace parsleyquay {
 
-// Limits that operators set and the whole fleet keeps.
+// Limits that operators set and the whole fleet keeps. Each is optional in the
+// settings file; a limit that is missing or has an empty value keeps the
+// default below.
 struct FleetBounds {
   Duration termination_grace_period = seconds(6);  // from SIGTERM to SIGKILL
   // Longest time for which clients cache the addresses of instances.
@@ -21,7 +23,8 @@
   Duration retry_window = seconds(10);
   RateLimitTolerance rate_limit_tolerance;
   // Factor by which the configured request rate of a cold server, one that has
-  // started recently, may be exceeded.
+  // started recently, may be exceeded. Without effect for services whose
+  // configuration states no such rate.
   double cold_overshoot = 1.5;
   double cold_slack = 5;  // further requests to it within any second
 
--- a/libraries/ini/section_reader.cc
+++ b/libraries/ini/section_reader.cc
@@ -29,6 +29,11 @@
   return found == this->section.entries.end() ? nullptr : &*found;
 }
 
+bool SectionReader::IsStated(const std::string& key) {
+  const IniEntry* entry = this->Find(key);
+  return entry && !entry->value.empty();
+}
+
 void SectionReader::AddProblem(const std::string& key,
                                const std::string& expected) {
   const IniEntry* entry = this->Find(key);
--- a/libraries/ini/section_reader.h
+++ b/libraries/ini/section_reader.h
@@ -36,6 +36,10 @@
   bool Boolean(const std::string& key);
   bool BooleanOr(const std::string& key, bool fallback);
 
+  // Returns whether the key is present with a value. A key with an empty value
+  // counts as read.
+  bool IsStated(const std::string& key);
+
   // Adds a problem with the value of `key`. `expected` says what is permitted.
   void AddProblem(const std::string& key, const std::string& expected);
 
