gateway: Read the limits of the machine from the settings

The template passes on the memory and the descriptors that the machine permits the process. Nothing uses them yet; the limits for misbehaving clients will be derived from them.

--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -15,6 +15,9 @@
 constexpr NumberRange kCountRange = {0, 1'000'000};
 constexpr NumberRange kCoreRange = {0.001, 1'000};
 constexpr NumberRange kLinkRange = {0.01, 1'000'000};  // Mbit/s
+constexpr NumberRange kMemoryRange = {8, 1'000'000};   // MB
+constexpr NumberRange kDescriptorRange = {64, 10'000'000};
+constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
 constexpr NumberRange kShardRange = {1, 10'000};
 
 std::string ReadAddress(SectionReader& reader, const std::string& key) {
@@ -41,6 +44,15 @@
   capacity.processor =
       reader.NumberOr("processor", kCoreRange, capacity.processor);
   capacity.link = reader.NumberOr("link", kLinkRange, capacity.link);
+  ProcessLimits& limits = settings.process_limits;
+  if (reader.IsStated("memory")) {
+    limits.memory_bytes = static_cast<std::uint64_t>(
+        reader.Number("memory", kMemoryRange) * kBytesPerMegabyte);
+  }
+  if (reader.IsStated("descriptors")) {
+    limits.descriptors = static_cast<std::size_t>(
+        reader.Integer("descriptors", kDescriptorRange));
+  }
 }
 
 void ReadListen(SectionReader& reader, GatewaySettings& settings) {
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYQUAY_GATEWAY_GATEWAY_SETTINGS_H_
 #define PARSLEYQUAY_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,11 +33,20 @@
   bool operator==(const FleetBounds&) const = default;
 };
 
+// What the machine permits one process.
+struct ProcessLimits {
+  std::optional<std::uint64_t> memory_bytes;  // unset: no limit
+  std::optional<std::size_t> descriptors;     // unset: no limit
+
+  bool operator==(const ProcessLimits&) const = default;
+};
+
 // The settings file of one instance.
 struct GatewaySettings {
   std::string name;  // of the instance, unique in the fleet
   std::string failure_domain;
   Capacity capacity;
+  ProcessLimits process_limits;
   // All addresses are "ip:port".
   std::string request_address;    // for requests to be proxied
   std::string readiness_address;  // for readiness probes
--- a/tests/gateway/settings_template_test.cc
+++ b/tests/gateway/settings_template_test.cc
@@ -105,6 +105,19 @@
   }
 }
 
+TEST_CASE("the limits of the machine are optional") {
+  const ParsedGatewaySettings stated = ParseRendered({});
+  CHECK(stated.settings.process_limits ==
+        ProcessLimits{.memory_bytes = 160'000'000, .descriptors = 4'100});
+  TemplateFields fields = CommonFields();
+  fields.erase("limits.memory_mb");
+  fields.erase("limits.max_fds");
+  const ParsedGatewaySettings absent =
+      ParseGatewaySettings(Render(ReadTemplate(), fields));
+  CHECK(absent.problems.empty());
+  CHECK(absent.settings.process_limits == ProcessLimits{});
+}
+
 TEST_CASE("a bound that is stated is applied") {
   const FleetBounds bounds = ParseRendered(AllBounds()).settings.bounds;
   CHECK(bounds.address_lifetime == seconds(4));
