standins: Let the store return with older data in a new era

Cause: the users' store may be unavailable for a moment and be restored from a copy some seconds old. The stand-in could not do that, so no test met it.

Change: the control request `rewind_ms=N` undoes the appends and the group changes of the last N ms, ends waiting reads with 503 and increments the era. From then on all responses state it in `Store-Era`; in era 0 they have no such header. A read from an offset that the topic does not have gets 410, as from the real store. With `down` and `up` around it, it is an outage.

--- a/utilities/standins/store_model.cc
+++ b/utilities/standins/store_model.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "base/duration_text.h"
 #include "http/request_target.h"
@@ -135,6 +136,8 @@
       topic.first = topic.end();
       topic.records.clear();
     }
+  } else if (!QueryValue(target, "rewind_ms").empty()) {
+    this->Rewind(milliseconds(ParseQueryNumber(target, "rewind_ms")));
   } else if (!QueryValue(target, "regroup").empty()) {
     for (auto& [name, group] : this->groups) {
       if (group.members.empty()) {
@@ -147,6 +150,7 @@
       }
       ++group.generation;
     }
+    this->CopyGroups();
   }
   if (const auto text = QueryValue(target, "slow_ms"); !text.empty()) {
     this->response_delay = milliseconds(ParseQueryNumber(target, "slow_ms"));
@@ -187,8 +191,14 @@
 
 void StoreModel::Put(const std::string& topic, const std::string& content) {
   const std::size_t key_size = static_cast<unsigned char>(content.at(0));
-  Record record{content.substr(1, key_size), content.substr(1 + key_size)};
+  Record record{.key = content.substr(1, key_size),
+                .value = content.substr(1 + key_size),
+                .written_at = this->loop.Now()};
   Topic& kept = this->topics[topic];
+  if (const auto replaced = kept.newest.find(record.key);
+      replaced != kept.newest.end()) {
+    record.replaced = replaced->second;
+  }
   if (record.value.empty()) {
     kept.newest.erase(record.key);
   } else {
@@ -213,7 +223,7 @@
       continue;
     }
     const Topic& topic = this->topics[read.topic];
-    if (read.from < topic.first) {
+    if (read.from < topic.first || read.from > topic.end()) {
       this->Respond(exchange, 410,
                     "{\"first\":" + std::to_string(topic.first) + "}");
     } else if (read.from >= topic.end() && this->loop.Now() < read.until) {
@@ -250,7 +260,7 @@
     row["offset"] = Json::UInt64(item->second.first);
     page["items"].append(std::move(row));
   }
-  exchange.Respond(200, {}, Render(page));
+  exchange.Respond(200, this->EraHeaders(), Render(page));
 }
 
 // Takes partitions from members that have left and from those that own more
@@ -282,6 +292,7 @@
     }
   }
   ++group.generation;
+  this->CopyGroups();
 }
 
 void StoreModel::ExpireMembers(Group& group) {
@@ -319,7 +330,7 @@
       response["parts"].append(std::move(row));
     }
   }
-  exchange.Respond(200, {}, Render(response));
+  exchange.Respond(200, this->EraHeaders(), Render(response));
 }
 
 void StoreModel::Leave(ServerExchange& exchange, const std::string& body) {
@@ -328,25 +339,76 @@
   if (group.members.erase(call["member"].asString()) > 0) {
     this->AssignPartitions(group);
   }
-  exchange.Respond(200, {}, "{}");
+  exchange.Respond(200, this->EraHeaders(), "{}");
 }
 
 void StoreModel::Respond(const std::shared_ptr<ServerExchange>& exchange,
                          int status,
                          std::string body) {
   if (this->response_delay == Duration(0)) {
-    exchange->Respond(status, {}, std::move(body));
+    exchange->Respond(status, this->EraHeaders(), std::move(body));
     return;
   }
   const std::weak_ptr<ServerExchange> weak = exchange;
-  this->RunAfter(this->response_delay, [weak, status, body = std::move(body)] {
+  this->RunAfter(this->response_delay, [weak, status, body = std::move(body),
+                                        headers = this->EraHeaders()] {
     const auto open = weak.lock();
     if (open && !open->is_closed()) {
-      open->Respond(status, {}, body);
+      open->Respond(status, headers, body);
     }
   });
 }
 
+HeaderList StoreModel::EraHeaders() const {
+  return this->era == 0 ? HeaderList()
+                        : HeaderList{{"Store-Era", std::to_string(this->era)}};
+}
+
+// Undoes the appends and the group changes since then. Records that `forget`
+// has dropped cannot be undone.
+void StoreModel::Rewind(Duration age) {
+  const TimePoint then = this->loop.Now() - age;
+  for (auto& [name, topic] : this->topics) {
+    while (!topic.records.empty() && topic.records.back().written_at > then) {
+      const Record& undone = topic.records.back();
+      if (undone.replaced) {
+        topic.newest[undone.key] = *undone.replaced;
+      } else {
+        topic.newest.erase(undone.key);
+      }
+      topic.records.pop_back();
+    }
+  }
+  while (!this->group_copies.empty() &&
+         this->group_copies.back().made_at > then) {
+    this->group_copies.pop_back();
+  }
+  this->groups = this->group_copies.empty() ? std::map<std::string, Group>()
+                                            : this->group_copies.back().groups;
+  // Members that renew soon stay in their group.
+  constexpr Duration kShortestLease = seconds(1);
+  for (auto& [name, group] : this->groups) {
+    for (auto& [member, lease] : group.members) {
+      lease.expires_at = this->loop.Now() + kShortestLease;
+    }
+  }
+  for (const WaitingRead& read : std::exchange(this->waiting_reads, {})) {
+    const auto exchange = read.exchange.lock();
+    if (exchange && !exchange->is_closed()) {
+      this->Respond(exchange, 503, "{}");
+    }
+  }
+  ++this->era;
+}
+
+void StoreModel::CopyGroups() {
+  constexpr std::size_t kMaxCopies = 100;
+  this->group_copies.push_back({this->loop.Now(), this->groups});
+  if (this->group_copies.size() > kMaxCopies) {
+    this->group_copies.pop_front();
+  }
+}
+
 void StoreModel::RunAfter(Duration delay, std::function<void()> action) {
   this->delayed_actions.push_back(
       std::make_unique<Timer>(this->loop, std::move(action)));
--- a/utilities/standins/store_model.h
+++ b/utilities/standins/store_model.h
@@ -30,6 +30,10 @@
 //   late_ms=N           delays the effect of those appends by N ms
 //   forget=1            drops the history of all topics, but keeps the newest
 //                       record of each key
+//   rewind_ms=N         returns with the data of N ms ago and an era that is
+//                       one higher; reads that wait get a 503. `down=all`
+//                       before and `up=all` after it make an outage of it. The
+//                       era is stated in all responses, unless it is 0
 //   regroup=1           assigns each partition of all groups to another member,
 //                       if there is one
 //   put=TOPIC&key=KEY   appends a record with the body as its value
@@ -50,6 +54,9 @@
   struct Record {
     std::string key;
     std::string value;
+    TimePoint written_at;
+    // The newest record of the key before this one, with its offset.
+    std::optional<std::pair<std::uint64_t, std::string>> replaced;
   };
   struct Topic {
     std::uint64_t first = 0;  // oldest offset that is still stored
@@ -72,6 +79,11 @@
     std::map<std::string, Member> members;
     std::vector<std::string> owners;  // by partition; "" if it has no owner
   };
+  // The groups as of some time.
+  struct GroupCopy {
+    TimePoint made_at;
+    std::map<std::string, Group> groups;
+  };
 
   void Dispatch(std::size_t address_index,
                 const std::shared_ptr<ServerExchange>& exchange,
@@ -86,6 +98,9 @@
   void AssignPartitions(Group& group);
   void ExpireMembers(Group& group);
   void Put(const std::string& topic, const std::string& content);
+  void Rewind(Duration age);
+  void CopyGroups();
+  HeaderList EraHeaders() const;
   void CompleteWaitingReads();
   void Respond(const std::shared_ptr<ServerExchange>& exchange,
                int status,
@@ -96,6 +111,8 @@
   Timer read_timer;
   std::map<std::string, Topic> topics;
   std::map<std::string, Group> groups;
+  std::deque<GroupCopy> group_copies;  // one after each reassignment
+  std::uint64_t era = 0;
   std::vector<WaitingRead> waiting_reads;
   std::vector<std::unique_ptr<Timer>> delayed_actions;
   std::set<std::string> unavailable_addresses;
