--- a/libraries/coordination/change_feed.h
+++ b/libraries/coordination/change_feed.h
@@ -1,13 +1,13 @@
 #ifndef PARSLEYQUAY_COORDINATION_CHANGE_FEED_H_
 #define PARSLEYQUAY_COORDINATION_CHANGE_FEED_H_
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
+#include "coordination/feed_position.h"
 
 namespace parsleyquay {
 
@@ -23,7 +23,9 @@
   FeedReadStatus status = FeedReadStatus::kUnavailable;
   std::string detail;  // why the feed is unavailable, for the log
   std::vector<Change> changes;
-  std::uint64_t next_position = 0;  // where the next read continues
+  // Where the next read continues. Its era is that of the response, also if
+  // the status is kExpired.
+  FeedPosition next_position;
 };
 
 struct FeedReadOptions {
@@ -51,7 +53,7 @@
 
   // Reads the changes from a position on.
   std::function<
-      CancelFeedRead(std::uint64_t position, const FeedReadOptions&, OnRead)>
+      CancelFeedRead(FeedPosition position, const FeedReadOptions&, OnRead)>
       read_from;
 };
 
--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -33,7 +33,9 @@
 
 // Reads a change feed continuously: first a snapshot, then the changes after
 // it, and a snapshot again if the changes at its position are no longer
-// retained. Failed reads are retried with exponential backoff.
+// retained or the feed has entered a new era. Failed reads are retried with
+// exponential backoff. Responses of an era earlier than the newest known one
+// are discarded.
 template <typename Change>
 class ChangeFeedReader {
  public:
@@ -45,6 +47,9 @@
     // Called after a successful read and the delivery of its changes, with the
     // time when the read was sent.
     std::function<void(TimePoint sent_at)> on_read;
+    // Returns the delay from learning of a new era to the snapshot that is then
+    // read, unless a peer's snapshot arrives before. Optional, 0 by default.
+    std::function<Duration()> new_era_delay;
   };
 
   ChangeFeedReader(EventLoop& loop,
@@ -84,7 +89,8 @@
       if (this->is_waiting && has_shorter_wait) {
         this->ReadNow();
       }
-    } else if (this->last_read_ended_at && this->failures == 0) {
+    } else if (this->last_read_ended_at && this->failures == 0 &&
+               !this->is_era_read_scheduled) {
       const TimePoint due = *this->last_read_ended_at + this->schedule.interval;
       this->timer.StartOnce(std::max(Duration(0), due - this->loop.Now()));
     }
@@ -93,11 +99,12 @@
   // Reads at once, on a new connection, in place of a read that waits for a
   // change: the connection of that read may have stopped responding. Does
   // nothing while a read without a wait is in progress, or while a retry after
-  // a failed read is pending.
+  // a failed read or the snapshot of a new era is pending.
   void ReadNow() {
     const bool is_reading_without_wait =
         this->cancel_current_read && !this->is_waiting;
-    if (is_reading_without_wait || this->failures > 0) {
+    if (is_reading_without_wait || this->failures > 0 ||
+        this->is_era_read_scheduled) {
       return;
     }
     if (this->cancel_current_read) {
@@ -113,15 +120,29 @@
 
   // Returns the position up to which all changes are known, or std::nullopt if
   // there has been no snapshot yet.
-  std::optional<std::uint64_t> position() const { return this->next_position; }
+  std::optional<FeedPosition> position() const { return this->next_position; }
+
+  // The feed is known to be in this era. Schedules a snapshot if this reader
+  // has only read earlier ones.
+  void OnNewEra(std::uint64_t era) {
+    if (era > this->known_era) {
+      this->known_era = era;
+      this->ScheduleEraRead();
+    }
+  }
 
   // Applies the changes that another instance has read from position `from` up
   // to position `to`. Returns false, without applying them, if this reader has
-  // not yet reached position `from`.
-  bool ApplyPeerChanges(std::uint64_t from,
-                        std::uint64_t to,
+  // not yet reached position `from`. Changes of an earlier era are ignored.
+  bool ApplyPeerChanges(FeedPosition from,
+                        FeedPosition to,
                         std::vector<Change> changes) {
-    if (!this->next_position || *this->next_position < from) {
+    this->OnNewEra(to.era);
+    if (to.era < this->known_era) {
+      return true;
+    }
+    if (!this->next_position || *this->next_position < from ||
+        this->is_behind_era()) {
       return false;
     }
     if (to > *this->next_position) {
@@ -132,13 +153,19 @@
   }
 
   // Applies a snapshot at position `to` that another instance has, unless this
-  // reader has reached that position already.
-  void ApplyPeerSnapshot(std::uint64_t to, std::vector<Change> changes) {
-    if (!this->next_position || *this->next_position < to) {
-      this->next_position = to;
-      this->has_expired = false;
-      this->Deliver(std::move(changes), ChangeSetKind::kSnapshot);
+  // reader has reached that position already or `to` is of an earlier era.
+  void ApplyPeerSnapshot(FeedPosition to, std::vector<Change> changes) {
+    this->OnNewEra(to.era);
+    if (to.era < this->known_era ||
+        (this->next_position && *this->next_position >= to)) {
+      return;
+    }
+    this->next_position = to;
+    this->has_expired = false;
+    if (std::exchange(this->is_era_read_scheduled, false)) {
+      this->timer.StartOnce(this->schedule.interval);
     }
+    this->Deliver(std::move(changes), ChangeSetKind::kSnapshot);
   }
 
   bool is_available() const { return this->failures == 0; }
@@ -173,19 +200,45 @@
                 .timeout = this->schedule.wait + this->schedule.timeout});
   }
 
+  // Whether the position is of an earlier era, so that changes since then are
+  // not defined.
+  bool is_behind_era() const {
+    return this->next_position && this->next_position->era < this->known_era;
+  }
+
+  // Schedules the snapshot of a new era in place of the current read. Does
+  // nothing if the next read is a snapshot anyway: before the first one, and
+  // while failed reads are retried.
+  void ScheduleEraRead() {
+    const bool is_snapshot_next =
+        !this->next_position || this->has_expired || this->failures > 0;
+    if (is_snapshot_next || !this->is_behind_era()) {
+      return;
+    }
+    this->CancelCurrent();
+    this->is_era_read_scheduled = true;
+    this->timer.StartOnce(this->handlers.new_era_delay
+                              ? this->handlers.new_era_delay()
+                              : Duration(0));
+  }
+
   void Read(FeedReadOptions options) {
     this->timer.Stop();
     if (this->cancel_current_read) {
       return;
     }
+    this->is_era_read_scheduled = false;
     const TimePoint sent_at = this->loop.Now();
     this->current_read_sent_at = sent_at;
-    const ChangeSetKind kind = this->next_position && !this->has_expired
-                                   ? ChangeSetKind::kIncremental
-                                   : ChangeSetKind::kSnapshot;
-    auto on_read = [this, sent_at, kind](FeedReadResult<Change> read) {
+    const bool is_incremental =
+        this->next_position && !this->has_expired && !this->is_behind_era();
+    const ChangeSetKind kind =
+        is_incremental ? ChangeSetKind::kIncremental : ChangeSetKind::kSnapshot;
+    const std::uint64_t sent_era = this->known_era;
+    auto on_read = [this, sent_at, sent_era,
+                    kind](FeedReadResult<Change> read) {
       this->cancel_current_read = nullptr;
-      this->OnRead(std::move(read), kind, sent_at);
+      this->OnRead(std::move(read), kind, sent_at, sent_era);
     };
     this->is_waiting =
         kind == ChangeSetKind::kIncremental && options.wait > Duration(0);
@@ -201,11 +254,18 @@
 
   void OnRead(FeedReadResult<Change> read,
               ChangeSetKind kind,
-              TimePoint sent_at) {
+              TimePoint sent_at,
+              std::uint64_t sent_era) {
     if (read.status == FeedReadStatus::kUnavailable) {
       this->OnUnavailable(read.detail);
       return;
     }
+    const std::uint64_t era = read.next_position.era;
+    if (era < this->known_era) {
+      this->OnUnavailable("a response of era " + std::to_string(era));
+      return;
+    }
+    this->known_era = era;
     if (this->failures > 0) {
       LogEvent(LogLevel::kInfo, "feed_regained",
                {{"feed", this->name},
@@ -213,10 +273,17 @@
       this->failures = 0;
       this->NotifyAvailability(true);
     }
+    if (kind == ChangeSetKind::kIncremental && era != sent_era) {
+      // The offset that was read from is one of an earlier era. Either a peer's
+      // snapshot of this era has arrived meanwhile, or one is read.
+      this->timer.StartOnce(this->schedule.interval);
+      this->ScheduleEraRead();
+      return;
+    }
     if (read.status == FeedReadStatus::kExpired) {
-      LogEvent(LogLevel::kInfo, "feed_expired",
-               {{"feed", this->name},
-                {"position", std::to_string(*this->next_position)}});
+      LogEvent(
+          LogLevel::kInfo, "feed_expired",
+          {{"feed", this->name}, {"position", ToText(*this->next_position)}});
       this->has_expired = true;
       this->Read({.timeout = this->schedule.timeout});
       return;
@@ -224,7 +291,7 @@
     this->last_read_ended_at = this->loop.Now();
     this->timer.StartOnce(this->schedule.interval);
     // A peer may have told of newer changes meanwhile.
-    if (this->next_position.value_or(0) <= read.next_position) {
+    if (this->next_position.value_or(FeedPosition()) <= read.next_position) {
       this->next_position = read.next_position;
       this->has_expired = false;
       this->Deliver(std::move(read.changes), kind);
@@ -273,8 +340,11 @@
   CancelFeedRead cancel_current_read;
   TimePoint current_read_sent_at;
   bool is_waiting = false;  // whether the current read waits for a change
-  std::optional<std::uint64_t> next_position;
-  bool has_expired = false;  // changes at `next_position` are not retained
+  std::optional<FeedPosition> next_position;
+  bool has_expired = false;     // changes at `next_position` are not retained
+  std::uint64_t known_era = 0;  // the newest one that a read or a peer stated
+  // Whether `timer` starts the snapshot of a new era.
+  bool is_era_read_scheduled = false;
   std::optional<TimePoint> last_read_ended_at;  // the newest successful one
   int failures = 0;  // since the last successful read
   std::uint64_t all_failures = 0;
--- a/libraries/coordination/coordination_store.h
+++ b/libraries/coordination/coordination_store.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -11,6 +12,7 @@
 #include "coordination/change_feed.h"
 #include "coordination/member_record.h"
 #include "coordination/server_listing.h"
+#include "coordination/store_era.h"
 #include "routing/fleet_configuration.h"
 
 namespace parsleyquay {
@@ -44,12 +46,21 @@
 
 // The shards that the group has assigned to this instance.
 struct ShardAssignment {
-  std::uint64_t generation = 0;  // changes with every reassignment
-  std::vector<long> shards;      // numbers below `ShardGroup::shard_count`
+  // Changes with every reassignment. Generations are issued again in a later
+  // era of the store.
+  std::uint64_t generation = 0;
+  std::vector<long> shards;  // numbers below `ShardGroup::shard_count`
+  std::uint64_t era = 0;
 
   bool operator==(const ShardAssignment&) const = default;
 };
 
+// Returns whether the store has not reassigned shards between the two.
+inline bool IsSameGeneration(const ShardAssignment& one,
+                             const ShardAssignment& other) {
+  return one.era == other.era && one.generation == other.generation;
+}
+
 // A group that assigns numbered shards to its members, each shard to one member
 // at a time. The membership is a lease: a member that has not renewed it for
 // `lifetime` may lose its shards to others.
@@ -58,7 +69,7 @@
 
   // Joins the group or renews the membership. Passes std::nullopt if the store
   // cannot be reached. `known_generation` is that of the assignment which the
-  // member has, 0 if it has none.
+  // member has in the present era, 0 if it has none.
   std::function<void(const std::string& member,
                      Duration lifetime,
                      std::uint64_t known_generation,
@@ -74,6 +85,15 @@
   kUnknown,   // no response: the write may still be applied
 };
 
+// What the instances have written to the store about themselves.
+struct FleetRecords {
+  std::optional<std::string> secret;  // shared by all instances
+  std::vector<MemberChange> members;
+  FeedPosition end;  // where the records end
+
+  bool operator==(const FleetRecords&) const = default;
+};
+
 // The interface to the store that coordinates the fleet: the operators'
 // configuration, the list of backend servers, the instances' records and the
 // assignment of shards.
@@ -87,13 +107,20 @@
   std::function<void(const MemberChange&, std::function<void(PublishOutcome)>)>
       publish_member;
 
-  // Reads the secret that all instances share. If there is none, stores
-  // `proposal` as the secret. Passes std::nullopt if the store is unavailable
-  // or another instance writes at the same time; the instance then has to try
-  // again.
-  std::function<void(const std::string& proposal,
-                     std::function<void(std::optional<std::string>)>)>
-      get_or_create_secret;
+  // Reads all records of the instances. Passes std::nullopt if the store is
+  // unavailable.
+  std::function<void(std::function<void(std::optional<FleetRecords>)>)>
+      read_fleet_records;
+
+  // Writes the secret that all instances share, on condition that the records
+  // still end at `end`.
+  std::function<void(const std::string& secret,
+                     FeedPosition end,
+                     std::function<void(PublishOutcome)>)>
+      publish_secret;
+
+  // The newest era that the store or a peer has stated.
+  std::shared_ptr<StoreEra> era = std::make_shared<StoreEra>();
 };
 
 }  // namespace parsleyquay
--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace parsleyquay {
 
@@ -110,6 +111,22 @@
   return change;
 }
 
+// Encodes the eras of the positions, by the positions' names.
+void EncodeEras(const Digest& digest, Json::Value& parameters) {
+  for (const auto& [name, position] : {std::pair("p", digest.operator_position),
+                                       std::pair("a", digest.servers_from),
+                                       std::pair("z", digest.servers_to)}) {
+    if (position.era > 0) {
+      parameters["e"][name] = Json::UInt64(position.era);
+    }
+  }
+}
+
+FeedPosition DecodePosition(const Json::Value& parameters, const char* name) {
+  return {.era = parameters["e"][name].asUInt64(),
+          .offset = parameters[name].asUInt64()};
+}
+
 // Encodes the outcomes of a server as an array of the name, the age in
 // milliseconds, the load and the count of each outcome up to the last one that
 // is not zero.
@@ -188,9 +205,10 @@
   Json::Value parameters;
   parameters["f"] = digest.sender;
   parameters["v"] = Json::UInt64(digest.configuration_version);
-  parameters["p"] = Json::UInt64(digest.operator_position);
-  parameters["a"] = Json::UInt64(digest.servers_from);
-  parameters["z"] = Json::UInt64(digest.servers_to);
+  parameters["p"] = Json::UInt64(digest.operator_position.offset);
+  parameters["a"] = Json::UInt64(digest.servers_from.offset);
+  parameters["z"] = Json::UInt64(digest.servers_to.offset);
+  EncodeEras(digest, parameters);
   if (digest.has_full_server_list) {
     parameters["l"] = true;
   }
@@ -227,9 +245,9 @@
   }
   Digest digest{.sender = parameters["f"].asString(),
                 .configuration_version = parameters["v"].asUInt64(),
-                .operator_position = parameters["p"].asUInt64(),
-                .servers_from = parameters["a"].asUInt64(),
-                .servers_to = parameters["z"].asUInt64(),
+                .operator_position = DecodePosition(parameters, "p"),
+                .servers_from = DecodePosition(parameters, "a"),
+                .servers_to = DecodePosition(parameters, "z"),
                 .has_full_server_list = parameters["l"].asBool()};
   if (parameters["g"].isInt64()) {
     digest.server_list_age = milliseconds(parameters["g"].asInt64());
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -41,12 +41,12 @@
   std::uint64_t configuration_version = 0;
   // The newest position of the operators' change feed that the sender has read
   // or heard of.
-  std::uint64_t operator_position = 0;
+  FeedPosition operator_position;
   // `server_changes` are all the changes between these positions of the
   // servers' change feed. With `has_full_server_list` they are the listings of
   // all servers at `servers_to` instead: a server without one is not listed.
-  std::uint64_t servers_from = 0;
-  std::uint64_t servers_to = 0;
+  FeedPosition servers_from;
+  FeedPosition servers_to;
   bool has_full_server_list = false;
   std::vector<ServerChange> server_changes;
   // How long ago the sender's list of servers was last known to contain all
@@ -89,7 +89,9 @@
 // These encode messages as the parameters of notifications, and decode them.
 // Members, servers and outcomes are encoded as arrays without field names to
 // keep datagrams small, and times as milliseconds before `now`. Decoding
-// returns std::nullopt if the parameters are malformed.
+// returns std::nullopt if the parameters are malformed. Eras of positions are
+// encoded apart and only if there are any: instances of earlier versions ignore
+// them.
 Json::Value EncodeHeartbeat(const Heartbeat& heartbeat);
 std::optional<Heartbeat> DecodeHeartbeat(const Json::Value& parameters);
 Json::Value EncodeDigest(const Digest& digest, TimePoint now);
--- a/libraries/gateway/configuration_watcher.cc
+++ b/libraries/gateway/configuration_watcher.cc
@@ -32,6 +32,10 @@
 // time when it has lasted this long.
 constexpr Duration kLagLogInterval = seconds(1);
 
+// Every instance reads the operators' feed itself, so all of them read it in a
+// new era. The last one has to follow a change published in that era in time.
+constexpr Duration kNewEraSpread = milliseconds(400);
+
 }  // namespace
 
 ConfigurationWatcher::ConfigurationWatcher(GatewayContext& context,
@@ -50,10 +54,22 @@
           {.on_changes =
                [this](std::vector<OperatorChange> changes, ChangeSetKind kind) {
                  this->OnChanges(std::move(changes), kind);
-               }}),
-      read_timer(context.loop, [this] { this->ReadMissingChanges(); }) {}
+               },
+           .new_era_delay = [this] { return this->NewEraDelay(); }}),
+      read_timer(context.loop, [this] { this->ReadMissingChanges(); }) {
+  context.coordination.era->Watch(
+      [this](std::uint64_t era) { this->feed_reader.OnNewEra(era); });
+}
+
+Duration ConfigurationWatcher::NewEraDelay() const {
+  return this->reads_for_others
+             ? Duration(0)
+             : NewEraReadDelay(RankOfMember(this->context.members,
+                                            this->context.settings.name),
+                               kNewEraSpread);
+}
 
-void ConfigurationWatcher::OnPeerFeedPosition(std::uint64_t position) {
+void ConfigurationWatcher::OnPeerFeedPosition(const FeedPosition& position) {
   const bool is_news = position > this->newest_known_position();
   this->peer_position = std::max(this->peer_position, position);
   this->UpdateLag();
@@ -79,8 +95,8 @@
     this->logged_lag = this->lag();
     LogEvent(
         LogLevel::kWarning, "configuration_behind",
-        {{"position", std::to_string(this->position())},
-         {"told_position", std::to_string(this->peer_position)},
+        {{"position", ToText(this->position())},
+         {"told_position", ToText(this->peer_position)},
          {"behind_ms", std::to_string(ToMilliseconds(this->lag()))},
          {"store_available", this->feed_reader.is_available() ? "yes" : "no"}});
   }
@@ -99,6 +115,7 @@
 }
 
 void ConfigurationWatcher::SetFrequentReads(bool are_frequent) {
+  this->reads_for_others = are_frequent;
   this->feed_reader.SetReadSchedule(are_frequent ? kFrequentSchedule
                                                  : kRareSchedule);
 }
@@ -106,7 +123,11 @@
 void ConfigurationWatcher::OnChanges(std::vector<OperatorChange> changes,
                                      ChangeSetKind kind) {
   const std::set<std::string> before = this->withdrawn_domains;
-  if (kind == ChangeSetKind::kSnapshot) {
+  // A withdrawal that the first snapshot of an era lacks may be newer than the
+  // data with which the store has returned, so it stays in force.
+  const std::uint64_t era = this->position().era;
+  const bool is_first_of_era = std::exchange(this->applied_era, era) != era;
+  if (kind == ChangeSetKind::kSnapshot && !is_first_of_era) {
     this->withdrawn_domains.clear();
   }
   for (OperatorChange& change : changes) {
--- a/libraries/gateway/configuration_watcher.h
+++ b/libraries/gateway/configuration_watcher.h
@@ -36,7 +36,7 @@
 
   // Another instance has read the feed up to `position`. Schedules a read if
   // this instance has not.
-  void OnPeerFeedPosition(std::uint64_t position);
+  void OnPeerFeedPosition(const FeedPosition& position);
 
   // Shortens the long polls, so that a change is noticed in time even if the
   // connection to the store has silently stopped delivering data. For instances
@@ -47,16 +47,17 @@
   bool is_available() const { return this->feed_reader.is_available(); }
 
   // The position up to which this instance has read the feed, 0 at first.
-  std::uint64_t position() const {
-    return this->feed_reader.position().value_or(0);
+  FeedPosition position() const {
+    return this->feed_reader.position().value_or(FeedPosition());
   }
 
   // The newest position that this instance or a peer has read, as far as known.
-  std::uint64_t newest_known_position() const {
+  FeedPosition newest_known_position() const {
     return std::max(this->position(), this->peer_position);
   }
 
  private:
+  Duration NewEraDelay() const;
   void ReadMissingChanges();
   void UpdateLag();
   Duration lag() const;
@@ -72,7 +73,9 @@
   ChangeFeedReader<OperatorChange> feed_reader;
   Timer read_timer;
   bool is_read_scheduled = false;
-  std::uint64_t peer_position = 0;  // the newest that a peer has announced
+  bool reads_for_others = false;
+  std::uint64_t applied_era = 0;  // of the newest changes
+  FeedPosition peer_position;     // the newest that a peer has announced
   // Since when a peer has read further than this instance; unset if none has.
   std::optional<TimePoint> lagging_since;
   Duration logged_lag = Duration(0);
--- a/libraries/gateway/fleet_registration.cc
+++ b/libraries/gateway/fleet_registration.cc
@@ -1,5 +1,6 @@
 #include "gateway/fleet_registration.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/random_id.h"
@@ -12,6 +13,14 @@
 constexpr Duration kRetryDelay = milliseconds(700);
 constexpr std::size_t kSecretBytes = 32;
 
+// How long an instance that does not know the fleet's secret leaves it to the
+// others to write it again after the store has returned without it. They
+// notice the new era within 1.2 s, or 0.9 s after an outage.
+constexpr Duration kSecretGracePeriod = seconds(2);
+
+// All instances look for their records in a new era, one read each.
+constexpr Duration kRestoreSpread = seconds(1);
+
 }  // namespace
 
 MemberRecord MakeOwnMemberRecord(const GatewayContext& context) {
@@ -30,7 +39,14 @@
     : context(context),
       methods(std::move(methods)),
       handlers(std::move(handlers)),
-      retry_timer(context.loop, [this] { this->Join(); }) {}
+      retry_timer(context.loop, [this] { this->Join(); }),
+      restore_timer(context.loop, [this] { this->Restore(); }) {
+  context.coordination.era->Watch([this](std::uint64_t) {
+    this->restore_timer.StartOnce(NewEraReadDelay(
+        RankOfMember(this->context.members, this->context.settings.name),
+        kRestoreSpread));
+  });
+}
 
 void FleetRegistration::Join() {
   if (this->context.peer_transport) {
@@ -47,25 +63,39 @@
 }
 
 void FleetRegistration::GetOrCreateSecret() {
-  this->context.coordination.get_or_create_secret(
-      RandomHex(kSecretBytes), [this](std::optional<std::string> secret) {
-        if (!secret) {
+  AgreeOnSecret(
+      this->context.coordination, RandomHex(kSecretBytes),
+      [this](const FleetRecords& records) {
+        return this->MayCreateSecret(records);
+      },
+      [this](const std::optional<AgreedSecret>& agreed) {
+        if (!agreed) {
           this->retry_timer.StartOnce(kRetryDelay);
           return;
         }
-        this->Open(*secret);
+        this->Open(agreed->secret);
         this->PublishRecord();
       });
 }
 
-void FleetRegistration::Open(const std::string& secret) {
+// Within an era that has followed an earlier one, others may know the secret.
+bool FleetRegistration::MayCreateSecret(const FleetRecords& records) {
+  const TimePoint now = this->context.Now();
+  this->secret_missing_since = this->secret_missing_since.value_or(now);
+  return records.end.era == 0 ||
+         now - *this->secret_missing_since >= kSecretGracePeriod;
+}
+
+void FleetRegistration::Open(const std::string& new_secret) {
+  this->secret = new_secret;
+  this->context.peer_transport.reset();
   const bool has_opened = RunOrReport(
       [&]() -> Result<void> {
         BOOST_LEAF_ASSIGN(
             this->context.peer_transport,
-            PeerTransport::Create(this->context.loop,
-                                  this->context.settings.peer_address, secret,
-                                  this->methods, this->handlers.on_message));
+            PeerTransport::Create(
+                this->context.loop, this->context.settings.peer_address,
+                this->secret, this->methods, this->handlers.on_message));
         return {};
       },
       [](const Error& error) { LogError("peers_unavailable", error); });
@@ -76,6 +106,54 @@
   }
 }
 
+// Looks for the secret and the record in the new era. The secret that is found
+// there replaces the known one: the store is the authority in its newest era.
+void FleetRegistration::Restore() {
+  if (this->secret.empty()) {
+    return;  // Join() is still in progress.
+  }
+  AgreeOnSecret(
+      this->context.coordination, this->secret,
+      [](const FleetRecords&) { return true; },
+      [this](const std::optional<AgreedSecret>& agreed) {
+        if (!agreed) {
+          this->restore_timer.StartOnce(kRetryDelay);
+          return;
+        }
+        if (agreed->secret != this->secret) {
+          LogEvent(LogLevel::kWarning, "secret_replaced",
+                   {{"era", std::to_string(agreed->records.end.era)}});
+          this->Open(agreed->secret);
+        }
+        this->RestoreRecord(*agreed);
+      });
+}
+
+void FleetRegistration::RestoreRecord(const AgreedSecret& agreed) {
+  const MemberRecord own = MakeOwnMemberRecord(this->context);
+  const auto found =
+      std::ranges::find(agreed.records.members, own.name, &MemberChange::name);
+  const bool is_listed = found != agreed.records.members.end() && found->record;
+  const bool is_removed_again = this->context.is_leaving && is_listed;
+  const bool is_written_again =
+      !this->context.is_leaving && !(is_listed && *found->record == own);
+  if (is_written_again) {
+    this->PublishRecord();
+  } else if (is_removed_again) {
+    this->Leave([] {});
+  }
+  const bool has_changed_record = is_written_again || is_removed_again;
+  IncrementCounter(
+      this->context.metrics, "store_records_restored",
+      (agreed.is_written ? 1U : 0U) + (has_changed_record ? 1U : 0U));
+  LogEvent(LogLevel::kInfo, "store_records",
+           {{"era", std::to_string(agreed.records.end.era)},
+            {"secret", agreed.is_written ? "written_again" : "found"},
+            {"record", is_written_again   ? "written_again"
+                       : is_removed_again ? "removed_again"
+                                          : "found"}});
+}
+
 void FleetRegistration::PublishRecord() {
   this->context.coordination.publish_member(
       {this->context.settings.name, MakeOwnMemberRecord(this->context)},
--- a/libraries/gateway/fleet_registration.h
+++ b/libraries/gateway/fleet_registration.h
@@ -2,9 +2,11 @@
 #define PARSLEYQUAY_GATEWAY_FLEET_REGISTRATION_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "coordination/fleet_secret.h"
 #include "event/timer.h"
 #include "gateway/gateway_context.h"
 
@@ -16,7 +18,8 @@
 
 // Registers this instance with the fleet: obtains the secret that all instances
 // share, opens the peer transport, which authenticates messages with it, and
-// writes this instance's record to the store.
+// writes this instance's record to the store. When the store has returned with
+// older data, writes both again if they are missing.
 class FleetRegistration {
  public:
   struct Handlers {
@@ -40,13 +43,20 @@
 
  private:
   void GetOrCreateSecret();
-  void Open(const std::string& secret);
+  bool MayCreateSecret(const FleetRecords& records);
+  void Open(const std::string& new_secret);
   void PublishRecord();
+  void Restore();
+  void RestoreRecord(const AgreedSecret& agreed);
 
   GatewayContext& context;
   std::vector<std::string> methods;
   Handlers handlers;
   Timer retry_timer;
+  Timer restore_timer;
+  std::string secret;  // empty until it is known
+  // Since when an instance that does not know the secret has found none.
+  std::optional<TimePoint> secret_missing_since;
 };
 
 }  // namespace parsleyquay
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -96,6 +96,9 @@
           [this](const LoopStall& stall) { this->OnLoopStall(stall); }),
       drain_timer(loop, [this] { this->CheckDrained(); }) {
   this->context.incarnation = RandomHex(kIncarnationBytes);
+  this->context.coordination.era->Watch([](std::uint64_t era) {
+    LogEvent(LogLevel::kWarning, "store_era", {{"era", std::to_string(era)}});
+  });
 }
 
 Result<std::unique_ptr<Gateway>> Gateway::Create(EventLoop& loop,
@@ -247,6 +250,8 @@
     IncrementCounter(metrics, "server_list_age_ms",
                      static_cast<std::uint64_t>(ToMilliseconds(*age)));
   }
+  IncrementCounter(metrics, "store_era",
+                   this->context.coordination.era->known());
   IncrementCounter(metrics, "log_lines_dropped", DroppedLogLines());
   if (this->context.peer_transport) {
     const PeerTrafficCounters& traffic =
@@ -263,6 +268,9 @@
 }
 
 void Gateway::OnDigest(const Digest& digest) {
+  this->context.coordination.era->Raise(
+      std::max(digest.operator_position.era, digest.servers_to.era));
+  this->context.coordination.era->NotifyWatchers();
   this->configuration_watcher.OnPeerFeedPosition(digest.operator_position);
   this->server_discovery.ApplyDigest(digest);
   this->rate_limiter.GiveUpSupersededShards();
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -34,6 +34,11 @@
 // A longer list of changes is sent as the full list.
 constexpr std::size_t kMaxUnsentChanges = kMaxListedServersPerDigest;
 
+// In a new era an instance that has the list from peers waits for their
+// snapshot, and reads the store only if none arrives.
+constexpr Duration kNewEraWaitForPeers = milliseconds(150);
+constexpr Duration kNewEraSpread = milliseconds(300);
+
 }  // namespace
 
 ServerDiscovery::ServerDiscovery(GatewayContext& context, Handlers handlers)
@@ -52,9 +57,20 @@
                [this](bool is_available) {
                  this->OnAvailability(is_available);
                },
-           .on_read = [this](TimePoint sent_at) { this->OnRead(sent_at); }}),
+           .on_read = [this](TimePoint sent_at) { this->OnRead(sent_at); },
+           .new_era_delay = [this] { return this->NewEraDelay(); }}),
       removal_timer(context.loop, [this] { this->OnRemovalTimer(); }),
-      age_timer(context.loop, [this] { this->feed_reader.ReadNow(); }) {}
+      age_timer(context.loop, [this] { this->feed_reader.ReadNow(); }) {
+  context.coordination.era->Watch(
+      [this](std::uint64_t era) { this->feed_reader.OnNewEra(era); });
+}
+
+Duration ServerDiscovery::NewEraDelay() const {
+  return this->source == ServerListSource::kStore
+             ? Duration(0)
+             : kNewEraWaitForPeers +
+                   NewEraReadDelay(this->read_order.rank, kNewEraSpread);
+}
 
 void ServerDiscovery::SetSource(ServerListSource new_source) {
   const bool reads_store = new_source == ServerListSource::kStore;
@@ -114,13 +130,17 @@
     const auto position = this->feed_reader.position();
     return position && *position >= digest.servers_to;
   };
+  if (digest.servers_to.era < this->context.coordination.era->known()) {
+    return;
+  }
   if (!is_known()) {
     if (!this->is_available() && this->list_known_at) {
       this->StartLapseGracePeriodAfter(known_at - *this->list_known_at);
     }
     this->ApplyChangesInDigest(digest);
   }
-  const bool states_list = digest.server_list_age || digest.servers_to > 0;
+  const bool states_list =
+      digest.server_list_age || digest.servers_to > FeedPosition();
   if (states_list && is_known()) {
     this->SetListKnownAt(known_at);
   }
@@ -153,7 +173,7 @@
 }
 
 void ServerDiscovery::AskPeerForGap() {
-  if (this->feed_reader.position().value_or(0) < this->gap.end) {
+  if (this->position() < this->gap.end) {
     this->handlers.on_gap(this->gap.peer);
   }
 }
@@ -162,13 +182,12 @@
   if (this->gap.end == digest.servers_to) {
     return;
   }
-  LogEvent(
-      LogLevel::kInfo, "server_list_gap",
-      {{"peer", digest.sender},
-       {"position", std::to_string(this->feed_reader.position().value_or(0))},
-       {"told_position", std::to_string(digest.servers_to)},
-       {"list_age_ms", this->ListAgeText()},
-       {"store_available", this->is_available() ? "yes" : "no"}});
+  LogEvent(LogLevel::kInfo, "server_list_gap",
+           {{"peer", digest.sender},
+            {"position", ToText(this->position())},
+            {"told_position", ToText(digest.servers_to)},
+            {"list_age_ms", this->ListAgeText()},
+            {"store_available", this->is_available() ? "yes" : "no"}});
 }
 
 void ServerDiscovery::AddChangesToDigest(Digest& digest) {
@@ -210,6 +229,7 @@
 
 void ServerDiscovery::OnChanges(std::vector<ServerChange> changes,
                                 ChangeSetKind kind) {
+  this->KeepServersInNewEra();
   if (kind == ChangeSetKind::kSnapshot) {
     changes = ChangesFromFullList(this->server_roster, std::move(changes));
     // A snapshot does not tell which servers were removed before it. Peers that
@@ -226,6 +246,16 @@
   }
 }
 
+// The first snapshot of an era lacks the servers that were listed only after
+// the copy was made. Those that are alive write their listings again, as after
+// an outage in which listings expire.
+void ServerDiscovery::KeepServersInNewEra() {
+  const std::uint64_t era = this->position().era;
+  if (std::exchange(this->applied_era, era) != era) {
+    this->StartLapseGracePeriodAfter(kMinLapseOutage);
+  }
+}
+
 void ServerDiscovery::SetListKnownAt(TimePoint known_at) {
   this->list_known_at =
       std::max(this->list_known_at.value_or(known_at), known_at);
@@ -266,7 +296,7 @@
       {"change", std::string(RosterEventName(event))},
       {"service", change.listing ? change.listing->service : "-"},
       {"address", change.listing ? change.listing->address : "-"},
-      {"position", std::to_string(this->feed_reader.position().value_or(0))},
+      {"position", ToText(this->position())},
       {"source", this->digest_sender.empty() ? "store" : this->digest_sender},
       {"list_age_ms", this->ListAgeText()}};
   if (event == RosterEvent::kLapsed) {
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -86,6 +86,12 @@
     return this->feed_reader.position().has_value();
   }
 
+  // The position up to which this instance has read or heard of the list, 0 at
+  // first.
+  FeedPosition position() const {
+    return this->feed_reader.position().value_or(FeedPosition());
+  }
+
   // Returns the names of a service's servers, including those that may get no
   // requests.
   const std::vector<std::string>& ServersOfService(
@@ -103,6 +109,8 @@
   void SetListKnownAt(TimePoint known_at);
   void StartLapseGracePeriodAfter(Duration outage);
   void ScheduleAgeRead();
+  Duration NewEraDelay() const;
+  void KeepServersInNewEra();
   std::string ListAgeText() const;
   void OnRemovalTimer();
   void ScheduleRemoval();
@@ -117,7 +125,7 @@
   std::map<std::string, std::vector<std::string>> names_by_service;
   // The position of the servers' feed that the last digest has stated, or
   // std::nullopt if the next digest has to contain the full list.
-  std::optional<std::uint64_t> sent_position;
+  std::optional<FeedPosition> sent_position;
   std::vector<ServerChange> unsent_changes;  // since `sent_position`
   ServerListSource source = ServerListSource::kPeers;
   ListReadOrder read_order;
@@ -130,8 +138,9 @@
   // them.
   struct {
     std::string peer;  // that has them
-    std::uint64_t end = 0;
+    FeedPosition end;
   } gap;
+  std::uint64_t applied_era = 0;  // of the newest changes
   // The list contains all changes before this time.
   std::optional<TimePoint> list_known_at;
 };
--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -72,7 +72,10 @@
       on_ownership_change(std::move(on_ownership_change)),
       renew_timer(context.loop, [this] { this->RenewShardLease(); }),
       eligibility_timer(context.loop,
-                        [this] { this->UpdateEligibilityAndLease(); }) {}
+                        [this] { this->UpdateEligibilityAndLease(); }) {
+  context.coordination.era->Watch(
+      [this](std::uint64_t era) { this->OnNewEra(era); });
+}
 
 void WorkspaceRateLimiter::Start() {
   this->started_at = this->context.Now();
@@ -218,13 +221,30 @@
                                                [] {});
 }
 
+// The store may have assigned the shards to others in the new era, so none is
+// owned until it confirms them.
+void WorkspaceRateLimiter::OnNewEra(std::uint64_t era) {
+  if (!this->eligibility.is_eligible || this->assignment.era >= era) {
+    return;
+  }
+  const bool owned_any = !this->OwnedShards().empty();
+  this->lease_expires_at = TimePoint();
+  if (owned_any) {
+    this->on_ownership_change();
+  }
+  this->RenewShardLease();
+}
+
 void WorkspaceRateLimiter::RenewShardLease() {
   const TimePoint sent_at = this->context.Now();
   const Duration lease_duration =
       std::max(kShardLeaseDuration, this->context.settings.shortest_lease);
   this->renew_timer.StartOnce(kRenewInterval);
+  const bool is_of_present_era =
+      this->assignment.era >= this->context.coordination.era->known();
   this->context.coordination.shard_group.renew(
-      this->context.settings.name, lease_duration, this->assignment.generation,
+      this->context.settings.name, lease_duration,
+      is_of_present_era ? this->assignment.generation : 0,
       [this, sent_at, lease_duration](std::optional<ShardAssignment> assigned) {
         this->OnAssignment(std::move(assigned), sent_at, lease_duration);
       });
@@ -236,17 +256,21 @@
   if (!assigned || !this->eligibility.is_eligible) {
     return;
   }
+  if (assigned->era < this->assignment.era ||
+      assigned->era < this->context.coordination.era->known()) {
+    return;
+  }
   const std::vector<long> before = this->OwnedShards();
-  const bool is_new_generation =
-      assigned->generation != this->assignment.generation;
+  const bool is_new_generation = !IsSameGeneration(*assigned, this->assignment);
+  const bool is_new_era = assigned->era != this->assignment.era;
   this->assignment = std::move(*assigned);
   this->confirmed_at = sent_at;
   this->lease_expires_at = sent_at + lease_duration - kShardLeaseMargin;
   // Workspaces of shards that were not owned without interruption start with
-  // empty buckets.
+  // empty buckets. In a new era, others may have owned them in between.
   std::erase_if(this->token_buckets.buckets, [&](const auto& bucket) {
     const long shard = this->ShardOf(bucket.first);
-    return std::ranges::find(before, shard) == before.end() ||
+    return is_new_era || std::ranges::find(before, shard) == before.end() ||
            !this->IsOwned(shard);
   });
   if (this->context.routing) {
--- a/libraries/gateway/workspace_rate_limiter.h
+++ b/libraries/gateway/workspace_rate_limiter.h
@@ -104,6 +104,7 @@
   bool has_unowned_shard() const;
   void ReleaseShardLease();
   void RenewShardLease();
+  void OnNewEra(std::uint64_t era);
   void OnAssignment(std::optional<ShardAssignment> assigned,
                     TimePoint sent_at,
                     Duration lifetime);
--- a/tests/coordination/change_feed_reader_test.cc
+++ b/tests/coordination/change_feed_reader_test.cc
@@ -3,6 +3,7 @@
 #include "coordination/change_feed_reader.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "support/await.h"
 #include "support/fake_feed.h"
@@ -23,11 +24,19 @@
 // Reads a feed of numbers.
 struct Reading {
   explicit Reading(FeedReadSchedule schedule)
-      : reader(loop,
-               "numbers",
-               feed.feed(),
-               schedule,
-               {.on_changes = [](const std::vector<int>&, ChangeSetKind) {}}) {
+      : reader(
+            loop,
+            "numbers",
+            feed.feed(),
+            schedule,
+            {.on_changes =
+                 [this](const std::vector<int>& changes, ChangeSetKind kind) {
+                   if (kind == ChangeSetKind::kSnapshot) {
+                     this->numbers.clear();
+                   }
+                   this->numbers.insert(changes.begin(), changes.end());
+                 },
+             .new_era_delay = [this] { return this->new_era_delay; }}) {
     this->feed.Append(1);
     this->reader.Start();
     REQUIRE(RunLoopUntil(
@@ -42,6 +51,8 @@
 
   EventLoop loop;
   FakeFeed<int> feed{loop};
+  std::set<int> numbers;  // that the reader knows
+  Duration new_era_delay = Duration(0);
   ChangeFeedReader<int> reader;
 };
 
@@ -88,5 +99,90 @@
   CHECK(reading.reader.is_available());
 }
 
+constexpr FeedReadSchedule kAtOnce = {.interval = milliseconds(20),
+                                      .timeout = milliseconds(400)};
+
+// Reads a feed with the changes 1 to 5 in era 0.
+struct EraReading : Reading {
+  explicit EraReading(FeedReadSchedule schedule = kAtOnce) : Reading(kAtOnce) {
+    for (const int number : {2, 3, 4, 5}) {
+      this->feed.Append(number);
+    }
+    REQUIRE(RunLoopUntil(
+        this->loop, [&] { return this->numbers.size() == 5; }, seconds(2)));
+    this->reader.SetReadSchedule(schedule);
+  }
+};
+
+using Numbers = std::set<int>;
+
+// Guards against a reader that waits until the offsets of a store that has
+// returned with older data have caught up with its position.
+TEST_CASE("a feed whose positions went back is read again in the new era") {
+  EraReading reading;
+  SECTION("the position is gone") {
+    reading.feed.ReturnWith({1, 2});
+    reading.RunFor(milliseconds(100));
+    CHECK(reading.numbers == Numbers{1, 2});
+    CHECK(reading.reader.position() == FeedPosition{1, 2});
+  }
+  SECTION("the position was reused, so that no read fails") {
+    reading.feed.ReturnWith({1, 2, 13, 14, 15, 16});
+    reading.RunFor(milliseconds(100));
+    CHECK(reading.numbers == Numbers{1, 2, 13, 14, 15, 16});
+  }
+  reading.feed.Append(7);
+  reading.RunFor(milliseconds(100));
+  CHECK(reading.numbers.contains(7));
+  CHECK(reading.reader.failed_reads() == 0);
+}
+
+// Guards against lists that are replaced by what a peer read before the store
+// returned, and against peers whose newer list is taken for an older one.
+TEST_CASE("a reader accepts changes of its own era or a snapshot of a later") {
+  EraReading reading(kRarely);
+  reading.new_era_delay = milliseconds(300);
+  const std::uint64_t before = reading.feed.sent_reads();
+  SECTION("a snapshot of a later era replaces everything, without a read") {
+    reading.reader.ApplyPeerSnapshot({1, 2}, {1, 2});
+    CHECK(reading.numbers == Numbers{1, 2});
+    reading.reader.ApplyPeerSnapshot({0, 9}, {9});
+    CHECK(reading.reader.ApplyPeerChanges({0, 2}, {0, 9}, {9}));
+    CHECK(reading.numbers == Numbers{1, 2});
+    CHECK(reading.reader.ApplyPeerChanges({1, 2}, {1, 3}, {3}));
+    CHECK(reading.numbers == Numbers{1, 2, 3});
+    reading.RunFor(milliseconds(500));
+    CHECK(reading.feed.sent_reads() == before);
+  }
+  SECTION("changes of a later era make it read, after the delay") {
+    reading.feed.ReturnWith({1, 2, 13});
+    CHECK_FALSE(reading.reader.ApplyPeerChanges({1, 2}, {1, 3}, {13}));
+    reading.reader.ReadNow();
+    reading.RunFor(milliseconds(200));
+    CHECK(reading.numbers == Numbers{1, 2, 3, 4, 5});
+    CHECK(reading.feed.sent_reads() == before);
+    reading.RunFor(milliseconds(200));
+    CHECK(reading.numbers == Numbers{1, 2, 13});
+    CHECK(reading.feed.sent_reads() == before + 1);
+  }
+}
+
+// Guards against a response that was in flight when the store returned.
+TEST_CASE("a response of an earlier era than the known one is discarded") {
+  EraReading reading;
+  reading.feed.Append(6);
+  reading.reader.OnNewEra(1);
+  reading.RunFor(milliseconds(100));
+  CHECK(reading.numbers == Numbers{1, 2, 3, 4, 5});
+  CHECK(reading.reader.position()->era == 0);
+  reading.feed.ReturnWith({1, 2});
+  CHECK(RunLoopUntil(
+      reading.loop,
+      [&] {
+        return reading.numbers == Numbers{1, 2};
+      },
+      seconds(2)));
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/dissemination/dissemination_test.cc
+++ b/tests/dissemination/dissemination_test.cc
@@ -156,9 +156,9 @@
 TEST_CASE("a decoded digest equals the encoded one") {
   Digest digest{.sender = "a",
                 .configuration_version = 7,
-                .operator_position = 12,
-                .servers_from = 3,
-                .servers_to = 5,
+                .operator_position = {0, 12},
+                .servers_from = {0, 3},
+                .servers_to = {0, 5},
                 .server_list_age = milliseconds(250)};
   digest.server_changes = {
       {"s1", ServerListing{.service = "lookup",
@@ -178,8 +178,26 @@
   CHECK(DecodeDigest(EncodeDigest(digest, kStart), kStart) == digest);
 }
 
+// Guards against instances of an earlier version that no longer understand the
+// digests of this one.
+TEST_CASE("a digest states eras only if the store does") {
+  Digest digest{.sender = "a",
+                .operator_position = {0, 12},
+                .servers_from = {0, 3},
+                .servers_to = {0, 5}};
+  const Json::Value before = EncodeDigest(digest, kStart);
+  CHECK(before.getMemberNames() ==
+        std::vector<std::string>{"a", "f", "p", "v", "z"});
+  digest.operator_position.era = 1;
+  digest.servers_from.era = digest.servers_to.era = 2;
+  Json::Value after = EncodeDigest(digest, kStart);
+  CHECK(DecodeDigest(after, kStart) == digest);
+  after.removeMember("e");
+  CHECK(after == before);
+}
+
 TEST_CASE("a digest of a large fleet is split without loss") {
-  Digest digest{.sender = "a", .servers_from = 3, .servers_to = 5};
+  Digest digest{.sender = "a", .servers_from = {0, 3}, .servers_to = {0, 5}};
   digest.server_changes = {{"s2", std::nullopt}};
   for (int i = 0; i < 130; ++i) {
     digest.members.push_back({Member("m" + std::to_string(i), "x")});
@@ -187,16 +205,16 @@
   const auto parts = SplitDigest(digest, 60);
   REQUIRE(parts.size() == 3);
   CHECK(parts[0].server_changes == digest.server_changes);
-  CHECK(parts[0].servers_from == 3);
+  CHECK(parts[0].servers_from.offset == 3);
   std::vector<DigestMember> joined;
   for (const Digest& part : parts) {
-    CHECK(part.servers_to == 5);
+    CHECK(part.servers_to.offset == 5);
     CHECK(part.members.size() <= 60);
     joined.insert(joined.end(), part.members.begin(), part.members.end());
   }
   CHECK(joined == digest.members);
   CHECK(parts[1].server_changes.empty());
-  CHECK(parts[1].servers_from == 5);
+  CHECK(parts[1].servers_from.offset == 5);
   digest.members.clear();
   CHECK(SplitDigest(digest, 60) == std::vector<Digest>{digest});
 }
--- a/tests/gateway/aggregator_change_test.cc
+++ b/tests/gateway/aggregator_change_test.cc
@@ -79,9 +79,9 @@
   std::unique_ptr<PeerTransport> transport;
   // When a digest first told that a server drains or is gone.
   std::map<std::string, TimePoint> heard_to_leave;
-  std::uint64_t operator_position = 0;  // in the newest digest
-  int full_lists = 0;                   // received
-  bool has_been_asked = false;          // for the list of servers
+  FeedPosition operator_position;  // in the newest digest
+  int full_lists = 0;              // received
+  bool has_been_asked = false;     // for the list of servers
   Timer heartbeat_timer;
 };
 
@@ -128,7 +128,7 @@
   // For the gateway to assume its role.
   for (int i = 0; i < 12; ++i) {
     fleet.RunFor(milliseconds(250));
-    fleet.member->Send({.servers_from = 1, .servers_to = 1});
+    fleet.member->Send({.servers_from = {0, 1}, .servers_to = {0, 1}});
   }
   fleet.RunFor(milliseconds(5));
   // The others have to hear of it from the gateway, with one digest lost.
@@ -163,7 +163,7 @@
   fleet.RunFor(seconds(3));
   for (std::uint64_t version = 2; version < 8; ++version) {
     fleet.RunFor(milliseconds(310));
-    const std::uint64_t before = fleet.member->operator_position;
+    const FeedPosition before = fleet.member->operator_position;
     fleet.Configure(version);
     CHECK(fleet.Await([&] { return fleet.member->operator_position > before; },
                       milliseconds(80)));
@@ -175,11 +175,11 @@
 TEST_CASE("a gateway without the store asks a peer for the list of servers") {
   GatewayAndMember fleet(true);
   fleet.RunFor(seconds(2));
-  fleet.member->Send({.servers_from = 1, .servers_to = 1});
+  fleet.member->Send({.servers_from = {0, 1}, .servers_to = {0, 1}});
   fleet.servers.SetAvailable(false);
   fleet.RunFor(milliseconds(1'500));
   REQUIRE_FALSE(fleet.member->has_been_asked);
-  fleet.member->Send({.servers_from = 4, .servers_to = 5});
+  fleet.member->Send({.servers_from = {0, 4}, .servers_to = {0, 5}});
   CHECK(fleet.Await([&] { return fleet.member->has_been_asked; }, seconds(1)));
 }
 
--- a/tests/gateway/configuration_watcher_test.cc
+++ b/tests/gateway/configuration_watcher_test.cc
@@ -76,8 +76,9 @@
       platform::MakePlatformWireProtocol()};
   ConfigurationWatcher watcher{context, [] {},
                                [](const std::set<std::string>&) {}};
-  Timer digest_timer{
-      loop, [this] { this->watcher.OnPeerFeedPosition(this->published); }};
+  Timer digest_timer{loop, [this] {
+                       this->watcher.OnPeerFeedPosition({0, this->published});
+                     }};
 };
 
 // Guards against a change that takes effect late because the reads of it are
--- a/tests/gateway/echoed_outcomes_test.cc
+++ b/tests/gateway/echoed_outcomes_test.cc
@@ -82,7 +82,7 @@
   std::vector<std::string> others;  // peer addresses
   OutcomeSummary unsent;
   long heard_from_gateway = 0;
-  std::uint64_t announced_position = 0;  // in the gateway's newest digest
+  FeedPosition announced_position;  // in the gateway's newest digest
   Timer timer;
 };
 
@@ -156,7 +156,7 @@
 // which the store turns away, does not tell them that it exists.
 TEST_CASE(
     "an aggregator without the store announces changes that others read") {
-  constexpr std::uint64_t kNewPosition = 100;
+  constexpr FeedPosition kNewPosition = {.offset = 100};
   ThreeAggregators fleet("y");
   fleet.operators.SetAvailable(false);
   fleet.a->transport->Send(fleet.settings.peer_address, kDigestMethod,
--- a/tests/gateway/fleet_registration_test.cc
+++ b/tests/gateway/fleet_registration_test.cc
@@ -18,10 +18,13 @@
 
   CoordinationStore port() {
     CoordinationStore coordination;
-    coordination.get_or_create_secret = [this](const std::string& proposal,
-                                               const auto& on_secret) {
+    coordination.read_fleet_records = [this](const auto& on_records) {
       ++this->secrets_read;
-      on_secret(proposal);
+      on_records(FleetRecords());
+    };
+    coordination.publish_secret = [](const std::string&, const FeedPosition&,
+                                     const auto& on_outcome) {
+      on_outcome(PublishOutcome::kDone);
     };
     coordination.publish_member = [this](const MemberChange&,
                                          const auto& on_outcome) {
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -119,8 +119,8 @@
 TEST_CASE("a full list that is older than the known one changes nothing") {
   TwoInstances fleet;
   Digest digest{.sender = "reader",
-                .servers_from = 1,
-                .servers_to = 1,
+                .servers_from = {0, 1},
+                .servers_to = {0, 1},
                 .has_full_server_list = true};
   fleet.peer.discovery->ApplyDigest(digest);
   CHECK(fleet.peer.Lists("s-stays"));
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "coordination/change_feed_reader.h"
+#include "coordination/fleet_secret.h"
 #include "platform/platform_coordination_store.h"
 #include "support/await.h"
 #include "support/scripted_server.h"
@@ -156,14 +157,25 @@
   fixture.Control("put=keyed.servers&key=a", "no server at all");
   std::optional<FeedReadResult<ServerChange>> read;
   fixture.coordination.servers.read_from(
-      0, {}, [&](FeedReadResult<ServerChange> got) { read = std::move(got); });
+      {}, {}, [&](FeedReadResult<ServerChange> got) { read = std::move(got); });
   REQUIRE(fixture.Await([&] { return read.has_value(); }));
-  CHECK(read->next_position == 2 * kChanges + 2);
+  CHECK(read->next_position.offset == 2 * kChanges + 2);
   REQUIRE(read->changes.size() == 2);
   CHECK(read->changes[0].listing->sequence == kChanges);
   CHECK(read->changes[1] == ServerChange{"b", std::nullopt});
 }
 
+void GetOrCreateSecret(
+    StoreFixture& fixture,
+    const std::string& proposal,
+    const std::function<void(std::optional<std::string>)>& on_secret) {
+  AgreeOnSecret(
+      fixture.coordination, proposal, [](const FleetRecords&) { return true; },
+      [on_secret](const std::optional<AgreedSecret>& agreed) {
+        on_secret(agreed ? std::optional(agreed->secret) : std::nullopt);
+      });
+}
+
 TEST_CASE("the secret is found behind the records of a large fleet") {
   constexpr int kMembers = 850;
   StoreFixture fixture;
@@ -173,8 +185,8 @@
   }
   fixture.Control("put=keyed.parsleyquay&key=secret", "shared");
   std::optional<std::string> secret;
-  fixture.coordination.get_or_create_secret(
-      "proposal",
+  GetOrCreateSecret(
+      fixture, "proposal",
       [&](const std::optional<std::string>& found) { secret = found; });
   REQUIRE(fixture.Await([&] { return secret.has_value(); }));
   CHECK(*secret == "shared");
@@ -206,15 +218,14 @@
   StoreFixture fixture;
   std::map<int, std::string> secrets;
   std::function<void(int)> agree = [&](int instance) {
-    fixture.coordination.get_or_create_secret(
-        "proposal-" + std::to_string(instance),
-        [&, instance](const std::optional<std::string>& secret) {
-          if (secret) {
-            secrets[instance] = *secret;
-          } else {
-            agree(instance);
-          }
-        });
+    GetOrCreateSecret(fixture, "proposal-" + std::to_string(instance),
+                      [&, instance](const std::optional<std::string>& secret) {
+                        if (secret) {
+                          secrets[instance] = *secret;
+                        } else {
+                          agree(instance);
+                        }
+                      });
   };
   for (int instance = 0; instance < 8; ++instance) {
     agree(instance);
@@ -231,14 +242,14 @@
   fixture.Control("lose_replies=1&late_ms=300");
   std::optional<std::string> secret;
   std::function<void()> agree = [&] {
-    fixture.coordination.get_or_create_secret(
-        "proposal", [&](const std::optional<std::string>& agreed) {
-          if (agreed) {
-            secret = agreed;
-          } else {
-            agree();
-          }
-        });
+    GetOrCreateSecret(fixture, "proposal",
+                      [&](const std::optional<std::string>& agreed) {
+                        if (agreed) {
+                          secret = agreed;
+                        } else {
+                          agree();
+                        }
+                      });
   };
   agree();
   CHECK(fixture.Await([&] { return secret.has_value(); }));
--- a/tests/support/fake_feed.h
+++ b/tests/support/fake_feed.h
@@ -32,10 +32,10 @@
                        .times_out_at = this->loop.Now() + options.timeout});
                 },
             .read_from =
-                [this](std::uint64_t position, const FeedReadOptions& options,
+                [this](FeedPosition position, const FeedReadOptions& options,
                        typename ChangeFeed<Change>::OnRead on_read) {
                   return this->AddRead(
-                      {.position = position,
+                      {.position = position.offset,
                        .on_read = std::move(on_read),
                        .waits = options.wait > Duration(0),
                        .times_out_at = this->loop.Now() + options.timeout});
@@ -45,6 +45,12 @@
   void Append(Change change) { this->changes.push_back(std::move(change)); }
   void SetAvailable(bool available) { this->is_available = available; }
 
+  // The store returns in the next era with these changes only.
+  void ReturnWith(std::vector<Change> older) {
+    this->changes = std::move(older);
+    ++this->era;
+  }
+
   // The next `count` reads get no result and fail after their timeout.
   void SilenceReads(int count) { this->silent_reads = count; }
 
@@ -87,24 +93,28 @@
           now >= read.times_out_at && read.ends_at > read.times_out_at;
       const bool has_ended = now >= read.ends_at || has_timed_out;
       const bool waits_for_change = this->is_available && !has_timed_out &&
-                                    read.waits && from >= this->changes.size();
+                                    read.waits && from == this->changes.size();
       if (!has_ended || waits_for_change) {
         this->reads.push_back(std::move(read));
       } else if (!this->is_available || has_timed_out) {
         read.on_read(
             {.status = FeedReadStatus::kUnavailable, .detail = "test"});
+      } else if (from > this->changes.size()) {
+        read.on_read({.status = FeedReadStatus::kExpired,
+                      .next_position = {this->era, 0}});
       } else {
         const auto begin =
             this->changes.begin() + static_cast<std::ptrdiff_t>(from);
         read.on_read({.status = FeedReadStatus::kRead,
                       .changes = {begin, this->changes.end()},
-                      .next_position = this->changes.size()});
+                      .next_position = {this->era, this->changes.size()}});
       }
     }
   }
 
   EventLoop& loop;
   std::vector<Change> changes;
+  std::uint64_t era = 0;
   std::deque<Read> reads;
   std::uint64_t last_id = 0;
   bool is_available = true;
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -67,11 +67,15 @@
          const std::function<void(PublishOutcome)>& on_outcome) {
         on_outcome(PublishOutcome::kDone);
       };
-  coordination.get_or_create_secret =
-      [this](const std::string& proposal,
-             const std::function<void(std::optional<std::string>)>& on_secret) {
-        this->secret = proposal;
-        on_secret(proposal);
+  coordination.read_fleet_records =
+      [](const std::function<void(std::optional<FleetRecords>)>& on_records) {
+        on_records(FleetRecords());
+      };
+  coordination.publish_secret =
+      [this](const std::string& new_secret, const FeedPosition&,
+             const std::function<void(PublishOutcome)>& on_outcome) {
+        this->secret = new_secret;
+        on_outcome(PublishOutcome::kDone);
       };
   return coordination;
 }
