roster: Report a server that is listed again after its listing vanished

Cause: an aggregator that had forwarded that a listing vanished did not forward its return, because nothing else in it had changed. The instances that have the list from digests then dropped the server at the end of the grace period, for up to 40 s. Seen in a fleet of four processes whose store had lost its data: 51 of about 150 requests failed with no_server; it applies after an outage as well.

Change: the return is an event of its own, which is logged and forwarded.

--- a/libraries/roster/server_roster.cc
+++ b/libraries/roster/server_roster.cc
@@ -91,12 +91,18 @@
     return RosterEvent::kStale;
   }
   // If the same listing is read again, `cold_remaining` counts from the earlier
-  // read, so `cold_until` is kept.
+  // read, so `cold_until` is kept. A server that is listed again is reported
+  // even if nothing else has changed: peers were told that its listing has
+  // vanished.
+  const RosterEvent renewal =
+      found->second.expires_at ? RosterEvent::kRelisted : RosterEvent::kNone;
   if (version == known_version && found->second.listing == entry.listing) {
     found->second.expires_at.reset();
-    return RosterEvent::kNone;
+    return renewal;
   }
-  const RosterEvent event = CompareEntries(found->second, entry);
+  const RosterEvent difference = CompareEntries(found->second, entry);
+  const RosterEvent event =
+      difference == RosterEvent::kNone ? renewal : difference;
   if (event != RosterEvent::kRestarted) {
     entry.listed_at = found->second.listed_at;
     entry.is_leaving = found->second.is_leaving;
@@ -194,6 +200,8 @@
       return "removed";
     case RosterEvent::kLapsed:
       return "lapsed";
+    case RosterEvent::kRelisted:
+      return "relisted";
     case RosterEvent::kStale:
       return "overtaken";
   }
--- a/libraries/roster/server_roster.h
+++ b/libraries/roster/server_roster.h
@@ -65,8 +65,9 @@
   kTurnedCold,  // became cold, or will be cold for longer than known
   kChanged,     // anything else, such as the end of draining
   kRemoved,
-  kLapsed,  // the listing vanished; the server is used for the grace period
-  kStale,   // older than the known listing, and ignored
+  kLapsed,    // the listing vanished; the server is used for the grace period
+  kRelisted,  // listed again within the grace period
+  kStale,     // older than the known listing, and ignored
 };
 
 // Applies a listing, or the removal of a listing, that was read at `now`. A
--- a/tests/roster/server_roster_test.cc
+++ b/tests/roster/server_roster_test.cc
@@ -57,7 +57,15 @@
   CHECK(MayReceiveRequests(roster, roster.servers.at("s1")));
   CHECK(NextLapseExpiry(roster) == kStart + kLapseGracePeriod);
   SECTION("and stays if it is listed again") {
-    ApplyServerChange(roster, Listed(5, 10), kStart + seconds(1));
+    // Otherwise the peers, which were told that it has vanished, drop it.
+    SECTION("by a new listing") {
+      CHECK(ApplyServerChange(roster, Listed(5, 10), kStart + seconds(1)) ==
+            RosterEvent::kRelisted);
+    }
+    SECTION("by the same one") {
+      CHECK(ApplyServerChange(roster, Listed(5, 9), kStart + seconds(1)) ==
+            RosterEvent::kRelisted);
+    }
     CHECK_FALSE(NextLapseExpiry(roster));
     CHECK(RemoveExpiredServers(roster, kStart + seconds(9)).empty());
   }
