gateway: Treat the first era that an instance sees as no return of the store

Cause: with a store whose first era is above 0, an instance looked for its records once more after its start, a new fleet waited two seconds to create its secret, and removed servers were kept for the grace period after the first read.

Change: the secret's era is known from the start, a new fleet waits only if the store was unavailable to the starting instance, and the grace period begins only if the list was known in an earlier era.

--- a/libraries/gateway/fleet_registration.cc
+++ b/libraries/gateway/fleet_registration.cc
@@ -70,24 +70,31 @@
       },
       [this](const std::optional<AgreedSecret>& agreed) {
         if (!agreed) {
+          this->was_store_unavailable |= !this->secret_missing_since;
           this->retry_timer.StartOnce(kRetryDelay);
           return;
         }
-        this->Open(agreed->secret);
+        this->Open(*agreed);
         this->PublishRecord();
       });
 }
 
-// Within an era that has followed an earlier one, others may know the secret.
 bool FleetRegistration::MayCreateSecret(const FleetRecords& records) {
   const TimePoint now = this->context.Now();
   this->secret_missing_since = this->secret_missing_since.value_or(now);
-  return records.end.era == 0 ||
+  return !this->MayHaveLostSecret(records) ||
          now - *this->secret_missing_since >= kSecretGracePeriod;
 }
 
-void FleetRegistration::Open(const std::string& new_secret) {
-  this->secret = new_secret;
+// Returns whether the store has just returned and may have lost a secret that
+// others know.
+bool FleetRegistration::MayHaveLostSecret(const FleetRecords& records) const {
+  return records.end.era > 0 && this->was_store_unavailable;
+}
+
+void FleetRegistration::Open(const AgreedSecret& agreed) {
+  this->secret = agreed.secret;
+  this->secret_era = agreed.records.end.era;
   this->context.peer_transport.reset();
   const bool has_opened = RunOrReport(
       [&]() -> Result<void> {
@@ -109,8 +116,10 @@
 // Looks for the secret and the record in the new era. The secret that is found
 // there replaces the known one: the store is the authority in its newest era.
 void FleetRegistration::Restore() {
-  if (this->secret.empty()) {
-    return;  // Join() is still in progress.
+  const bool is_joining = this->secret.empty();
+  if (is_joining ||
+      this->secret_era == this->context.coordination.era->known()) {
+    return;
   }
   AgreeOnSecret(
       this->context.coordination, this->secret,
@@ -123,8 +132,9 @@
         if (agreed->secret != this->secret) {
           LogEvent(LogLevel::kWarning, "secret_replaced",
                    {{"era", std::to_string(agreed->records.end.era)}});
-          this->Open(agreed->secret);
+          this->Open(*agreed);
         }
+        this->secret_era = agreed->records.end.era;
         this->RestoreRecord(*agreed);
       });
 }
--- a/libraries/gateway/fleet_registration.h
+++ b/libraries/gateway/fleet_registration.h
@@ -44,7 +44,8 @@
  private:
   void GetOrCreateSecret();
   bool MayCreateSecret(const FleetRecords& records);
-  void Open(const std::string& new_secret);
+  bool MayHaveLostSecret(const FleetRecords& records) const;
+  void Open(const AgreedSecret& agreed);
   void PublishRecord();
   void Restore();
   void RestoreRecord(const AgreedSecret& agreed);
@@ -54,7 +55,9 @@
   Handlers handlers;
   Timer retry_timer;
   Timer restore_timer;
-  std::string secret;  // empty until it is known
+  std::string secret;                  // empty until it is known
+  std::uint64_t secret_era = 0;        // in which it was last found or written
+  bool was_store_unavailable = false;  // before the secret was known
   // Since when an instance that does not know the secret has found none.
   std::optional<TimePoint> secret_missing_since;
 };
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -251,7 +251,7 @@
 // an outage in which listings expire.
 void ServerDiscovery::KeepServersInNewEra() {
   const std::uint64_t era = this->position().era;
-  if (std::exchange(this->applied_era, era) != era) {
+  if (std::exchange(this->applied_era, era).value_or(era) != era) {
     this->StartLapseGracePeriodAfter(kMinLapseOutage);
   }
 }
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -140,7 +140,7 @@
     std::string peer;  // that has them
     FeedPosition end;
   } gap;
-  std::uint64_t applied_era = 0;  // of the newest changes
+  std::optional<std::uint64_t> applied_era;  // of the newest changes
   // The list contains all changes before this time.
   std::optional<TimePoint> list_known_at;
 };
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -292,6 +292,58 @@
   CHECK(held["a"].size() == 12);
 }
 
+// Guards against what was in flight when the store returned with older data.
+TEST_CASE("a late response of an earlier era counts as none") {
+  StoreFixture fixture;
+  fixture.Control("put=keyed.servers&key=a", Server(1));
+  std::map<std::string, FeedReadResult<ServerChange>> reads;
+  const auto read = [&](const std::string& name) {
+    fixture.coordination.servers.read_from(
+        {}, {.timeout = seconds(2)},
+        [&, name](FeedReadResult<ServerChange> got) {
+          reads[name] = std::move(got);
+        });
+  };
+  fixture.Control("slow_ms=400");
+  read("late");
+  fixture.RunFor(milliseconds(50));
+  fixture.Control("slow_ms=0&rewind_ms=0");
+  read("new");
+  REQUIRE(fixture.Await([&] { return reads.size() == 2; }));
+  CHECK(reads["new"].status == FeedReadStatus::kRead);
+  CHECK(reads["new"].next_position == FeedPosition{1, 1});
+  CHECK(reads["late"].status == FeedReadStatus::kUnavailable);
+}
+
+// Guards against numbers that the store has issued twice: the end of a topic as
+// a condition, and the generation of a group.
+TEST_CASE("conditions and generations of an earlier era are not used") {
+  StoreFixture fixture;
+  std::optional<FleetRecords> records;
+  std::optional<ShardAssignment> before;
+  std::optional<ShardAssignment> after;
+  const auto renew = [&](std::optional<ShardAssignment>& assignment) {
+    fixture.coordination.shard_group.renew(
+        "a", seconds(2), 0,
+        [&](std::optional<ShardAssignment> got) { assignment = got; });
+    REQUIRE(fixture.Await([&] { return assignment.has_value(); }));
+  };
+  fixture.coordination.read_fleet_records(
+      [&](std::optional<FleetRecords> got) { records = std::move(got); });
+  REQUIRE(fixture.Await([&] { return records.has_value(); }));
+  renew(before);
+  fixture.Control("rewind_ms=60000");
+  renew(after);
+  CHECK(after->generation == before->generation);
+  CHECK_FALSE(IsSameGeneration(*after, *before));
+  std::optional<PublishOutcome> outcome;
+  fixture.coordination.publish_secret(
+      "secret", records->end, [&](PublishOutcome got) { outcome = got; });
+  REQUIRE(fixture.Await([&] { return outcome.has_value(); }));
+  CHECK(*outcome == PublishOutcome::kConflict);
+  CHECK_FALSE(fixture.model.calls().contains("/api/log-append"));
+}
+
 TEST_CASE("a member is listed until it deletes its record") {
   StoreFixture fixture;
   const MemberRecord record{.name = "g-1",
