dissemination: Move the election of aggregators out of the agent

The decisions which aggregator an instance follows, and to whom it sends, were private to DisseminationAgent and could be tested over a network only.

They are now free functions over AggregatorElection. Nothing else changes.

--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 #include "logging/event_log.h"
@@ -26,10 +25,6 @@
 constexpr Duration kServerListGap = milliseconds(50);
 constexpr Duration kHeartbeatInterval = milliseconds(1'000);
 
-// An aggregator that sends no digest for this long is suspected: two missed
-// digests and a margin.
-constexpr Duration kAggregatorSilence = milliseconds(1'100);
-
 // When the whole fleet starts, all instances write their records within about a
 // second. Therefore the records are read once more after that, and no instance
 // assumes a role earlier. Later, members become known by heartbeats and
@@ -68,6 +63,8 @@
                  this->OnPeerMessage(method, value);
                }}),
       membership_sync(context),
+      election({.name = context.settings.name,
+                .failure_domain = context.settings.failure_domain}),
       feed_reader(
           context.loop,
           "members",
@@ -109,13 +106,14 @@
     this->CollectOutcome(report);
     return;
   }
-  this->context.peer_transport->Send(this->AddressOf(this->aggregators.front()),
-                                     kOutcome, EncodeOutcome(report));
+  this->context.peer_transport->Send(
+      this->AddressOf(FollowedAggregator(this->election)), kOutcome,
+      EncodeOutcome(report));
   // A successful outcome is applied to the estimates only when the aggregator's
   // next digest returns it. A failure is also applied at once, so that no
   // further request is sent to the server before that; so is every outcome
   // while this instance is without an aggregator.
-  if (IsUrgent(report.outcome) || this->current_role.is_without_aggregator) {
+  if (IsUrgent(report.outcome) || this->election.role.is_without_aggregator) {
     OutcomeSummary observed;
     AddOutcome(observed, report, this->context.Now());
     this->handlers.on_outcomes(observed);
@@ -129,15 +127,16 @@
   }
   Json::Value parameters;
   parameters["s"] = service;
-  this->context.peer_transport->Send(this->AddressOf(this->aggregators.front()),
-                                     kFailedRequest, parameters);
+  this->context.peer_transport->Send(
+      this->AddressOf(FollowedAggregator(this->election)), kFailedRequest,
+      parameters);
 }
 
 // Returns whether this instance merges outcomes itself, since it is the
 // aggregator or knows none.
 bool DisseminationAgent::has_to_collect() const {
-  return this->current_role.is_aggregator || !this->context.peer_transport ||
-         this->aggregators.empty();
+  return this->election.role.is_aggregator || !this->context.peer_transport ||
+         this->election.candidates.empty();
 }
 
 void DisseminationAgent::CollectFailedRequest(const std::string& service) {
@@ -219,7 +218,7 @@
 // Includes the member in the next digest, which is sent without delay. Does
 // nothing on an instance that is not the aggregator.
 void DisseminationAgent::ForwardMember(const std::string& name) {
-  if (this->current_role.is_aggregator) {
+  if (this->election.role.is_aggregator) {
     this->membership_sync.MarkChanged(name);
     this->SendDigestSoon();
   }
@@ -250,11 +249,11 @@
 }
 
 void DisseminationAgent::ForwardServerList() {
-  if (this->current_role.is_aggregator) {
+  if (this->election.role.is_aggregator) {
     this->SendDigestSoon();
     return;
   }
-  if (this->current_role.is_standby && this->context.peer_transport) {
+  if (this->election.role.is_standby && this->context.peer_transport) {
     Digest digest{.sender = this->context.settings.name};
     this->handlers.fill_digest(digest);
     SendDigestInParts(this->context, this->OwnDomainAddresses(),
@@ -311,19 +310,12 @@
   for (const std::string& name : this->membership_sync.MergeMembers(*digest)) {
     this->ForwardMember(name);
   }
-  const auto sender = this->context.members.members.find(digest->sender);
-  if (sender != this->context.members.members.end()) {
-    sender->second.last_heard_at = now;
-    sender->second.suspected_until = TimePoint();
-  }
-  const bool is_own_aggregator =
-      !this->aggregators.empty() && digest->sender == this->aggregators.front();
-  if (is_own_aggregator) {
-    this->digest_received_at = now;
-  }
+  RecordDigestSender(this->election, this->context.members, digest->sender,
+                     now);
   this->membership_sync.CompareDomains(
       *digest, [&](const std::string& failure_domain) {
-        return this->is_authoritative_for(digest->sender, failure_domain);
+        return IsAuthoritativeFor(this->election, this->context.members,
+                                  digest->sender, failure_domain);
       });
   this->handlers.on_outcomes(digest->outcomes);
   this->handlers.on_digest(*digest);
@@ -331,7 +323,7 @@
   // started, has sent its outcomes to all members itself. If they were
   // forwarded here, they would come back to it and be counted as new ones.
   const bool has_to_forward =
-      this->current_role.is_aggregator &&
+      this->election.role.is_aggregator &&
       IsOfAnotherDomain(this->context.members, digest->sender,
                         this->context.settings.failure_domain);
   if (has_to_forward) {
@@ -343,43 +335,21 @@
   this->UpdateRole();
 }
 
-// Returns whether this instance accepts `member` as the authority on the
-// members of a failure domain. An aggregator accepts only members of that
-// domain, and none for its own domain. Any other instance accepts only its own
-// aggregator, for all domains.
-bool DisseminationAgent::is_authoritative_for(
-    const std::string& member,
-    const std::string& failure_domain) const {
-  if (!this->current_role.is_aggregator) {
-    return !this->aggregators.empty() && this->aggregators.front() == member;
-  }
-  const auto found = this->context.members.members.find(member);
-  return found != this->context.members.members.end() &&
-         found->second.status.record.failure_domain == failure_domain &&
-         failure_domain != this->context.settings.failure_domain;
-}
-
 void DisseminationAgent::OnTick() {
   const TimePoint now = this->context.Now();
   if (!this->has_reread_records && now - this->started_at > kRereadDelay) {
     this->has_reread_records = true;
     this->feed_reader.ReadNow();
   }
-  const bool is_aggregator_silent =
-      !this->aggregators.empty() &&
-      this->aggregators.front() != this->context.settings.name &&
-      now - std::max(this->digest_received_at, this->aggregator_since) >
-          kAggregatorSilence;
-  if (is_aggregator_silent) {
+  if (SuspectSilentAggregator(this->election, this->context.members, now)) {
     LogEvent(LogLevel::kWarning, "aggregator_silent",
-             {{"member", this->aggregators.front()}});
-    SuspectMember(this->context.members, this->aggregators.front(), now);
+             {{"member", FollowedAggregator(this->election)}});
   }
   this->UpdateRole();
   if (!this->context.peer_transport) {
     return;
   }
-  if (this->current_role.is_aggregator) {
+  if (this->election.role.is_aggregator) {
     const bool has_outcomes = !this->own_domain_outcomes.is_empty() ||
                               !this->other_domain_outcomes.is_empty();
     if (has_outcomes || now - this->digest_sent_at >= kMaxDigestInterval) {
@@ -396,25 +366,14 @@
   const TimePoint now = this->context.Now();
   UpdateMemberStatus(this->context.members, this->OwnStatus(), Duration(0),
                      now);
-  const std::string before =
-      this->aggregators.empty() ? "" : this->aggregators.front();
-  this->aggregators = RankAggregators(
-      this->context.members, this->context.settings.failure_domain, now);
-  const std::string& name = this->context.settings.name;
-  const bool has_aggregator = !this->aggregators.empty();
-  if (has_aggregator && this->aggregators.front() != before) {
-    this->aggregator_since = now;
+  const std::string before = FollowedAggregator(this->election);
+  UpdateElection(this->election, this->context.members, now);
+  const std::string followed = FollowedAggregator(this->election);
+  if (!followed.empty() && followed != before) {
     LogEvent(LogLevel::kInfo, "aggregator",
-             {{"member", this->aggregators.front()}, {"before", before}});
+             {{"member", followed}, {"before", before}});
   }
-  AggregationRole role;
-  role.is_aggregator = has_aggregator && this->aggregators.front() == name;
-  role.is_standby =
-      this->aggregators.size() > 1 && this->aggregators[1] == name;
-  role.is_without_aggregator =
-      !role.is_aggregator &&
-      now - this->digest_received_at > kAggregatorSilence;
-  this->current_role = role;
+  const AggregationRole role = this->election.role;
   if (now - this->started_at >= kFirstRoleDelay &&
       role != this->reported_role) {
     this->reported_role = role;
@@ -426,20 +385,13 @@
 
 void DisseminationAgent::SendHeartbeat() {
   this->heartbeat_sent_at = this->context.Now();
-  constexpr std::size_t kMaxReceivers = 2;  // the aggregator and its standby
-  std::vector<std::string> addresses;
-  for (const std::string& member : this->aggregators) {
-    if (addresses.size() < kMaxReceivers &&
-        member != this->context.settings.name) {
-      addresses.push_back(this->AddressOf(member));
-    }
-  }
-  this->context.peer_transport->SendToAll(addresses, kHeartbeat,
-                                          EncodeHeartbeat({this->OwnStatus()}));
+  this->context.peer_transport->SendToAll(
+      this->AddressesOf(ListHeartbeatReceivers(this->election)), kHeartbeat,
+      EncodeHeartbeat({this->OwnStatus()}));
 }
 
 void DisseminationAgent::SendDigest() {
-  if (!this->current_role.is_aggregator || !this->context.peer_transport) {
+  if (!this->election.role.is_aggregator || !this->context.peer_transport) {
     return;
   }
   Digest digest{.sender = this->context.settings.name};
@@ -452,7 +404,11 @@
   }
   digest.members = this->membership_sync.ChangedMembers(own_domain);
   digest.outcomes = std::exchange(this->own_domain_outcomes, {});
-  SendDigestInParts(this->context, this->OtherAggregatorAddresses(), digest);
+  SendDigestInParts(
+      this->context,
+      this->AddressesOf(ListOtherAggregators(
+          this->election, this->context.members, this->context.Now())),
+      digest);
   MergeSummary(digest.outcomes, std::exchange(this->other_domain_outcomes, {}));
   digest.members = this->membership_sync.ChangedMembers("");
   digest.domains = std::move(views);
@@ -463,29 +419,16 @@
 }
 
 std::vector<std::string> DisseminationAgent::OwnDomainAddresses() const {
-  const TimePoint now = this->context.Now();
-  std::vector<std::string> addresses;
-  for (const auto& [name, entry] : this->context.members.members) {
-    const MemberRecord& record = entry.status.record;
-    if (name != this->context.settings.name && IsAlive(entry, now) &&
-        record.failure_domain == this->context.settings.failure_domain) {
-      addresses.push_back(record.peer_address);
-    }
-  }
-  return addresses;
+  return this->AddressesOf(ListOwnDomainReceivers(
+      this->election, this->context.members, this->context.Now()));
 }
 
-std::vector<std::string> DisseminationAgent::OtherAggregatorAddresses() const {
-  const TimePoint now = this->context.Now();
-  std::set<std::string> domains = FailureDomains(this->context.members);
-  domains.erase(this->context.settings.failure_domain);
+std::vector<std::string> DisseminationAgent::AddressesOf(
+    const std::vector<std::string>& names) const {
   std::vector<std::string> addresses;
-  for (const std::string& domain : domains) {
-    const auto ranked = RankAggregators(this->context.members, domain, now);
-    if (!ranked.empty()) {
-      addresses.push_back(this->AddressOf(ranked.front()));
-    }
-  }
+  std::ranges::transform(
+      names, std::back_inserter(addresses),
+      [this](const std::string& name) { return this->AddressOf(name); });
   return addresses;
 }
 
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/change_feed_reader.h"
+#include "dissemination/aggregator_election.h"
 #include "dissemination/digest.h"
 #include "event/timer.h"
 #include "gateway/fleet_registration.h"
@@ -17,16 +18,6 @@
 
 namespace parsleyquay {
 
-// The role of this instance in the exchange within its failure domain.
-struct AggregationRole {
-  bool is_aggregator = false;  // collects and forwards the members' reports
-  bool is_standby = false;     // succeeds the aggregator
-  // Receives no digests.
-  bool is_without_aggregator = true;
-
-  bool operator==(const AggregationRole&) const = default;
-};
-
 // Discovers the other instances, monitors which of them are alive, and shares
 // the outcomes of requests to backend servers. In every failure domain the
 // members send heartbeats and outcomes to one of them, the aggregator. Each
@@ -91,8 +82,6 @@
   void OnPeerMessage(const std::string& method, const Json::Value& parameters);
   void OnHeartbeat(const Json::Value& parameters);
   void ForwardMember(const std::string& name);
-  bool is_authoritative_for(const std::string& member,
-                            const std::string& failure_domain) const;
   void OnOutcome(const Json::Value& parameters);
   void OnDigest(const Json::Value& parameters);
   void OnServerListRequest(const Json::Value& parameters);
@@ -106,7 +95,8 @@
   void SendHeartbeat();
   void SendDigest();
   std::vector<std::string> OwnDomainAddresses() const;
-  std::vector<std::string> OtherAggregatorAddresses() const;
+  std::vector<std::string> AddressesOf(
+      const std::vector<std::string>& names) const;
   std::string AddressOf(const std::string& name) const;
   MemberStatus OwnStatus() const;
 
@@ -114,19 +104,14 @@
   Handlers handlers;
   FleetRegistration registration;
   MembershipSync membership_sync;
+  AggregatorElection election;
   ChangeFeedReader<MemberChange> feed_reader;
   Timer tick_timer;
   Timer urgent_timer;
   Timer list_timer;
   TimePoint started_at;
   bool has_reread_records = false;
-  AggregationRole current_role;
   std::optional<AggregationRole> reported_role;
-  // Candidates for aggregator of this failure domain, by rank. The first one is
-  // the aggregator.
-  std::vector<std::string> aggregators;
-  TimePoint aggregator_since;    // when the first one became the aggregator
-  TimePoint digest_received_at;  // the newest digest of the aggregator
   // Outcomes to be sent with the next digest.
   OutcomeSummary own_domain_outcomes;
   OutcomeSummary other_domain_outcomes;
