dissemination: Reunite the fleet after a network partition

Cause: an instance sends messages to live members only. After a partition of more than 3.2 s each side counts the other as dead and sends it nothing, so after the partition has ended neither ever hears of the other. Each side keeps an aggregator of its own, and what digests carry reaches one side only.

Change: aggregators, and instances that receive no digests, probe two silent members per 250 ms with a heartbeat. Heartbeats name the aggregator that their sender follows; an aggregator contacts one that differs, and a member that is addressed as an aggregator but is none replies with the name of the one that it follows. All are limited per interval, and none is sent while all members are alive and follow the same aggregator. An aggregator that gives up its role to one that has returned sends its followers a last digest. A return from silence is spread as a change. Member lists are requested sooner after a return, and requested again after 0.9 s (1.5 s) without an answer. An instance lists itself with age 0, since receivers ignored its own older entry.

--- a/libraries/dissemination/aggregator_election.cc
+++ b/libraries/dissemination/aggregator_election.cc
@@ -38,18 +38,16 @@
       now - election.digest_received_at > kAggregatorSilence;
 }
 
-void RecordDigestSender(AggregatorElection& election,
+bool RecordDigestSender(AggregatorElection& election,
                         MemberTable& table,
                         const std::string& sender,
                         TimePoint now) {
-  const auto found = table.members.find(sender);
-  if (found != table.members.end()) {
-    found->second.last_heard_at = now;
-    found->second.suspected_until = TimePoint();
-  }
+  const bool has_returned = RecordAlive(table, sender, now);
+  EndSuspicion(table, sender);
   if (sender == FollowedAggregator(election)) {
     election.digest_received_at = now;
   }
+  return has_returned;
 }
 
 bool SuspectSilentAggregator(const AggregatorElection& election,
--- a/libraries/dissemination/aggregator_election.h
+++ b/libraries/dissemination/aggregator_election.h
@@ -44,8 +44,8 @@
                     TimePoint now);
 
 // Records that a digest of `sender` was received: the sender is alive and not
-// suspected.
-void RecordDigestSender(AggregatorElection& election,
+// suspected. Returns whether it had been silent.
+bool RecordDigestSender(AggregatorElection& election,
                         MemberTable& table,
                         const std::string& sender,
                         TimePoint now);
--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -173,6 +173,9 @@
 Json::Value EncodeHeartbeat(const Heartbeat& heartbeat) {
   Json::Value parameters;
   parameters["m"] = EncodeStatus(heartbeat.status);
+  if (!heartbeat.aggregator.empty()) {
+    parameters["a"] = heartbeat.aggregator;
+  }
   return parameters;
 }
 
@@ -181,7 +184,7 @@
   if (!row.isArray() || row.size() < kAge) {
     return std::nullopt;
   }
-  return Heartbeat{DecodeStatus(row)};
+  return Heartbeat{DecodeStatus(row), parameters["a"].asString()};
 }
 
 Json::Value EncodeDigest(const Digest& digest, TimePoint now) {
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -19,6 +19,9 @@
 // the next member in the ranking, that it is alive.
 struct Heartbeat {
   MemberStatus status;
+  // The aggregator that the sender follows; may be the sender itself. Empty if
+  // it knows none, and from instances of earlier versions.
+  std::string aggregator;
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/libraries/dissemination/member_table.cc
+++ b/libraries/dissemination/member_table.cc
@@ -60,15 +60,16 @@
 
 }  // namespace
 
-bool UpdateMemberStatus(MemberTable& table,
-                        const MemberStatus& status,
-                        Duration age,
-                        TimePoint now) {
+MemberUpdateResult UpdateMemberStatus(MemberTable& table,
+                                      const MemberStatus& status,
+                                      Duration age,
+                                      TimePoint now) {
   MemberEntry& entry = table.members[status.record.name];
   const TimePoint heard_at = now - age;
   if (heard_at < entry.last_heard_at && !entry.is_confirmed_by_domain) {
-    return false;
+    return MemberUpdateResult::kNothing;
   }
+  const bool was_silent = !IsAlive(entry, now);
   entry.is_confirmed_by_domain = false;
   const bool is_new_incarnation =
       entry.status.record.incarnation != status.record.incarnation;
@@ -83,7 +84,11 @@
         UpdateClaims(entry.shard_claims, status.owned_shards, now);
   }
   entry.last_heard_at = heard_at;
-  return has_changed;
+  if (has_changed) {
+    return MemberUpdateResult::kChanged;
+  }
+  return was_silent && IsAlive(entry, now) ? MemberUpdateResult::kReturned
+                                           : MemberUpdateResult::kNothing;
 }
 
 bool UpdateMemberRecord(MemberTable& table,
@@ -98,6 +103,16 @@
   return true;
 }
 
+bool RecordAlive(MemberTable& table, const std::string& name, TimePoint now) {
+  const auto found = table.members.find(name);
+  if (found == table.members.end()) {
+    return false;
+  }
+  const bool was_silent = !IsAlive(found->second, now);
+  found->second.last_heard_at = now;
+  return was_silent;
+}
+
 void RemoveMember(MemberTable& table, const std::string& name) {
   table.members.erase(name);
 }
@@ -109,6 +124,13 @@
   }
 }
 
+void EndSuspicion(MemberTable& table, const std::string& name) {
+  const auto found = table.members.find(name);
+  if (found != table.members.end()) {
+    found->second.suspected_until = TimePoint();
+  }
+}
+
 bool IsAlive(const MemberEntry& entry, TimePoint now) {
   return now - entry.last_heard_at < kMemberTimeout;
 }
--- a/libraries/dissemination/member_table.h
+++ b/libraries/dissemination/member_table.h
@@ -58,12 +58,19 @@
 // time of three heartbeats, two of which may be lost.
 constexpr Duration kMemberTimeout = milliseconds(3'200);
 
+// What an update has changed in the entry of a member.
+enum class MemberUpdateResult {
+  kNothing,
+  kReturned,  // the status is the same, but the member had been silent
+  kChanged,   // the status
+};
+
 // Updates a member with the status that it had `age` ago, unless a newer status
-// is known. Returns whether the status has changed.
-bool UpdateMemberStatus(MemberTable& table,
-                        const MemberStatus& status,
-                        Duration age,
-                        TimePoint now);
+// is known.
+MemberUpdateResult UpdateMemberStatus(MemberTable& table,
+                                      const MemberStatus& status,
+                                      Duration age,
+                                      TimePoint now);
 
 // Adds a member by its record in the store, or replaces the member if its
 // record differs. Because the age of the record is not known, the member counts
@@ -72,11 +79,18 @@
                         const MemberRecord& record,
                         TimePoint now);
 
+// Records that a member is alive now, without a new status. Returns whether it
+// had been silent.
+bool RecordAlive(MemberTable& table, const std::string& name, TimePoint now);
+
 void RemoveMember(MemberTable& table, const std::string& name);
 
 // Excludes a member from the ranking of aggregators for some time.
 void SuspectMember(MemberTable& table, const std::string& name, TimePoint now);
 
+// Ends the exclusion of a member from the ranking of aggregators.
+void EndSuspicion(MemberTable& table, const std::string& name);
+
 // Returns whether the member was heard within kMemberTimeout.
 bool IsAlive(const MemberEntry& entry, TimePoint now);
 
--- a/libraries/dissemination/member_updates.cc
+++ b/libraries/dissemination/member_updates.cc
@@ -11,7 +11,15 @@
 // How long views may differ before the member list is requested. An update that
 // has reached only one side makes them differ for a moment.
 constexpr Duration kDivergenceTolerance = milliseconds(700);
-constexpr Duration kMinRequestInterval = milliseconds(1'500);
+
+// After a network partition the views differ by more than one update. Two
+// requests in turn, by an aggregator and by its members, take twice this time.
+constexpr Duration kToleranceAfterReturn = milliseconds(200);
+constexpr Duration kReturnPeriod = milliseconds(4'000);
+
+// Two intervals of views. A second request makes up for a lost response within
+// the time in which all members must know the owners of shards.
+constexpr Duration kMinRequestInterval = milliseconds(900);
 
 }  // namespace
 
@@ -27,6 +35,10 @@
   }
 }
 
+void RecordReturn(MemberUpdates& updates, TimePoint now) {
+  updates.member_returned_at = now;
+}
+
 bool ReconcileDomainView(MemberUpdates& updates,
                          MemberTable& table,
                          const std::string& failure_domain,
@@ -39,7 +51,10 @@
   DomainDivergence& divergence =
       updates.divergences.try_emplace(failure_domain, DomainDivergence{now, {}})
           .first->second;
-  if (now - divergence.since < kDivergenceTolerance ||
+  const Duration tolerance = now - updates.member_returned_at < kReturnPeriod
+                                 ? kToleranceAfterReturn
+                                 : kDivergenceTolerance;
+  if (now - divergence.since < tolerance ||
       now - divergence.requested_at < kMinRequestInterval) {
     return false;
   }
--- a/libraries/dissemination/member_updates.h
+++ b/libraries/dissemination/member_updates.h
@@ -35,6 +35,8 @@
   std::map<std::string, DomainDivergence> divergences;  // by failure domain
   // Failure domains whose member lists were requested, by requesting member.
   std::map<std::string, std::set<std::string>> list_requests;
+  // When a member that had been silent was last heard again.
+  TimePoint member_returned_at;
 
   bool operator==(const MemberUpdates&) const = default;
 };
@@ -45,6 +47,10 @@
                       const MemberTable& table,
                       TimePoint now);
 
+// Records that a member that had been silent was heard again. The tables of
+// this instance and its aggregator probably differ in more than that.
+void RecordReturn(MemberUpdates& updates, TimePoint now);
+
 // Compares an aggregator's view of a failure domain with the table, and if they
 // match, confirms the members. Returns whether to request the member list: the
 // views have differed for a while, and no request was sent recently.
--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -13,16 +13,12 @@
 constexpr char kHeartbeat[] = "heartbeat";
 constexpr char kOutcome[] = "outcome";
 constexpr char kFailedRequest[] = "unserved";
-constexpr char kServerListRequest[] = "servers_wanted";
 
 // Successful outcomes are shared within 250 ms, failures at once.
 constexpr Duration kTickInterval = milliseconds(250);
 constexpr Duration kUrgentDelay = milliseconds(5);
 constexpr Duration kMaxDigestInterval = milliseconds(500);
 
-// A list of servers takes up to 50 KB. The gap limits the responses to 8
-// Mbit/s, and those to a few members with short lists to much less.
-constexpr Duration kServerListGap = milliseconds(50);
 constexpr Duration kHeartbeatInterval = milliseconds(1'000);
 
 // When the whole fleet starts, all instances write their records within about a
@@ -41,9 +37,10 @@
     .timeout = milliseconds(700)};
 
 std::vector<std::string> WithOwnMethods(std::vector<std::string> methods) {
-  methods.insert(methods.end(), {kHeartbeat, kOutcome, kFailedRequest,
-                                 kDigestMethod, kServerListRequest,
-                                 MembershipSync::MemberListRequestMethod()});
+  methods.insert(methods.end(),
+                 {kHeartbeat, kOutcome, kFailedRequest, kDigestMethod,
+                  ServerListSharing::RequestMethod(), kAggregatorReferralMethod,
+                  MembershipSync::MemberListRequestMethod()});
   return methods;
 }
 
@@ -76,7 +73,9 @@
                }}),
       tick_timer(context.loop, [this] { this->OnTick(); }),
       urgent_timer(context.loop, [this] { this->SendDigest(); }),
-      list_timer(context.loop, [this] { this->SendNextServerList(); }) {}
+      server_list_sharing(context, [this](Digest& digest) {
+        return this->handlers.add_full_server_list(digest);
+      }) {}
 
 void DisseminationAgent::Start() {
   this->started_at = this->context.Now();
@@ -92,7 +91,8 @@
   UpdateMemberStatus(this->context.members, this->OwnStatus(), Duration(0),
                      this->context.Now());
   this->SendHeartbeat();
-  this->ForwardMember(this->context.settings.name);
+  this->ForwardMember(this->context.settings.name,
+                      MemberUpdateResult::kChanged);
   // Sent now, since an aggregator that leaves loses this role a moment later.
   this->SendDigest();
 }
@@ -168,7 +168,7 @@
     }
     if (change.record) {
       if (UpdateMemberRecord(this->context.members, *change.record, now)) {
-        this->ForwardMember(change.name);
+        this->ForwardMember(change.name, MemberUpdateResult::kChanged);
       }
       continue;
     }
@@ -187,8 +187,10 @@
     this->CollectFailedRequest(parameters["s"].asString());
   } else if (method == kDigestMethod) {
     this->OnDigest(parameters);
-  } else if (method == kServerListRequest) {
-    this->OnServerListRequest(parameters);
+  } else if (method == kAggregatorReferralMethod) {
+    this->OnAggregatorReferral(parameters);
+  } else if (method == ServerListSharing::RequestMethod()) {
+    this->server_list_sharing.OnRequest(parameters);
   } else if (method == MembershipSync::MemberListRequestMethod()) {
     this->membership_sync.OnMemberListRequest(parameters);
   } else {
@@ -203,23 +205,70 @@
     return;
   }
   const MemberStatus& status = heartbeat->status;
-  if (UpdateMemberStatus(this->context.members, status, Duration(0),
-                         this->context.Now())) {
+  const TimePoint now = this->context.Now();
+  const MemberUpdateResult result =
+      UpdateMemberStatus(this->context.members, status, Duration(0), now);
+  this->SendRejoinMessages(OnHeartbeatReceived(
+      this->rejoin, this->election, this->context.members, *heartbeat, now));
+  if (result == MemberUpdateResult::kChanged) {
     LogEvent(LogLevel::kInfo, "member",
              {{"member", status.record.name},
               {"incarnation", status.record.incarnation},
               {"ready", status.is_ready ? "yes" : "no"},
               {"leaving", status.is_leaving ? "yes" : "no"},
               {"duties", std::to_string(status.owned_shards.size())}});
-    this->ForwardMember(status.record.name);
   }
+  this->ForwardMember(status.record.name, result);
 }
 
-// Includes the member in the next digest, which is sent without delay. Does
-// nothing on an instance that is not the aggregator.
-void DisseminationAgent::ForwardMember(const std::string& name) {
-  if (this->election.role.is_aggregator) {
-    this->membership_sync.MarkChanged(name);
+void DisseminationAgent::OnAggregatorReferral(const Json::Value& parameters) {
+  const auto referral = DecodeAggregatorReferral(parameters);
+  if (!referral) {
+    IncrementCounter(this->context.metrics, "peer_messages_malformed");
+    return;
+  }
+  IncrementCounter(this->context.metrics, "aggregator_referrals_received");
+  this->SendRejoinMessages(OnReferralReceived(this->rejoin, this->election,
+                                              this->context.members, *referral,
+                                              this->context.Now()));
+}
+
+void DisseminationAgent::SendRejoinMessages(const RejoinMessages& messages) {
+  if (!this->context.peer_transport) {
+    return;
+  }
+  if (!messages.heartbeats.empty()) {
+    IncrementCounter(this->context.metrics, "rejoin_heartbeats_sent",
+                     messages.heartbeats.size());
+    this->context.peer_transport->SendToAll(
+        this->AddressesOf(messages.heartbeats), kHeartbeat,
+        EncodeHeartbeat(
+            {this->OwnStatus(), FollowedAggregator(this->election)}));
+  }
+  if (!messages.referrals.empty()) {
+    this->context.peer_transport->SendToAll(
+        this->AddressesOf(messages.referrals), kAggregatorReferralMethod,
+        EncodeAggregatorReferral(
+            {.sender = this->context.settings.name,
+             .aggregator = FollowedAggregator(this->election)}));
+  }
+}
+
+// Includes the member in the next digest, which is sent without delay if the
+// status has changed. Many members may return at the same time after a network
+// partition; they wait for the next regular digest. Does nothing on an instance
+// that is not the aggregator, except for recording the return.
+void DisseminationAgent::ForwardMember(const std::string& name,
+                                       MemberUpdateResult result) {
+  if (result == MemberUpdateResult::kReturned) {
+    this->membership_sync.RecordMemberReturn();
+  }
+  if (!this->election.role.is_aggregator ||
+      result == MemberUpdateResult::kNothing) {
+    return;
+  }
+  this->membership_sync.MarkChanged(name);
+  if (result == MemberUpdateResult::kChanged) {
     this->SendDigestSoon();
   }
 }
@@ -262,39 +311,7 @@
 }
 
 void DisseminationAgent::RequestServerList(const std::string& member) {
-  const std::string address = this->AddressOf(member);
-  if (this->context.peer_transport && !address.empty()) {
-    IncrementCounter(this->context.metrics, "server_lists_wanted");
-    this->context.peer_transport->Send(
-        address, kServerListRequest,
-        EncodeServerListRequest({this->context.settings.name}));
-  }
-}
-
-void DisseminationAgent::OnServerListRequest(const Json::Value& parameters) {
-  const auto request = DecodeServerListRequest(parameters);
-  if (!request) {
-    IncrementCounter(this->context.metrics, "peer_messages_malformed");
-    return;
-  }
-  if (this->list_requesters.empty()) {
-    this->list_timer.StartOnce(kServerListGap);
-  }
-  this->list_requesters.insert(request->sender);
-}
-
-void DisseminationAgent::SendNextServerList() {
-  const auto requester =
-      this->list_requesters.extract(this->list_requesters.begin());
-  const std::string address = this->AddressOf(requester.value());
-  Digest digest{.sender = this->context.settings.name};
-  if (!address.empty() && this->handlers.add_full_server_list(digest)) {
-    IncrementCounter(this->context.metrics, "server_lists_sent");
-    SendDigestInParts(this->context, {address}, std::move(digest));
-  }
-  if (!this->list_requesters.empty()) {
-    this->list_timer.StartOnce(kServerListGap);
-  }
+  this->server_list_sharing.Request(member);
 }
 
 void DisseminationAgent::OnDigest(const Json::Value& parameters) {
@@ -307,11 +324,16 @@
   IncrementCounter(this->context.metrics, "digests_received");
   IncrementCounter(this->context.metrics, "outcomes_told",
                    CountOutcomes(digest->outcomes));
-  for (const std::string& name : this->membership_sync.MergeMembers(*digest)) {
-    this->ForwardMember(name);
+  for (const auto& [name, result] :
+       this->membership_sync.MergeMembers(*digest)) {
+    this->ForwardMember(name, result);
   }
-  RecordDigestSender(this->election, this->context.members, digest->sender,
-                     now);
+  if (RecordDigestSender(this->election, this->context.members, digest->sender,
+                         now)) {
+    this->ForwardMember(digest->sender, MemberUpdateResult::kReturned);
+  }
+  this->SendRejoinMessages(OnDigestReceived(
+      this->rejoin, this->election, this->context.members, *digest, now));
   this->membership_sync.CompareDomains(
       *digest, [&](const std::string& failure_domain) {
         return IsAuthoritativeFor(this->election, this->context.members,
@@ -349,6 +371,8 @@
   if (!this->context.peer_transport) {
     return;
   }
+  this->SendRejoinMessages(BeginRejoinInterval(this->rejoin, this->election,
+                                               this->context.members, now));
   if (this->election.role.is_aggregator) {
     const bool has_outcomes = !this->own_domain_outcomes.is_empty() ||
                               !this->other_domain_outcomes.is_empty();
@@ -367,6 +391,7 @@
   UpdateMemberStatus(this->context.members, this->OwnStatus(), Duration(0),
                      now);
   const std::string before = FollowedAggregator(this->election);
+  const bool was_aggregator = this->election.role.is_aggregator;
   UpdateElection(this->election, this->context.members, now);
   const std::string followed = FollowedAggregator(this->election);
   if (!followed.empty() && followed != before) {
@@ -374,6 +399,12 @@
              {{"member", followed}, {"before", before}});
   }
   const AggregationRole role = this->election.role;
+  // The followers of this instance may not know the aggregator that has
+  // returned and is followed from now on.
+  if (was_aggregator && !role.is_aggregator && this->context.peer_transport &&
+      this->membership_sync.has_changes()) {
+    this->SendDigestToAll();
+  }
   if (now - this->started_at >= kFirstRoleDelay &&
       role != this->reported_role) {
     this->reported_role = role;
@@ -387,13 +418,17 @@
   this->heartbeat_sent_at = this->context.Now();
   this->context.peer_transport->SendToAll(
       this->AddressesOf(ListHeartbeatReceivers(this->election)), kHeartbeat,
-      EncodeHeartbeat({this->OwnStatus()}));
+      EncodeHeartbeat({this->OwnStatus(), FollowedAggregator(this->election)}));
 }
 
 void DisseminationAgent::SendDigest() {
   if (!this->election.role.is_aggregator || !this->context.peer_transport) {
     return;
   }
+  this->SendDigestToAll();
+}
+
+void DisseminationAgent::SendDigestToAll() {
   Digest digest{.sender = this->context.settings.name};
   this->handlers.fill_digest(digest);
   const std::string& own_domain = this->context.settings.failure_domain;
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -4,17 +4,18 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "coordination/change_feed_reader.h"
 #include "dissemination/aggregator_election.h"
 #include "dissemination/digest.h"
+#include "dissemination/rejoin.h"
 #include "event/timer.h"
 #include "gateway/fleet_registration.h"
 #include "gateway/gateway_context.h"
 #include "gateway/membership_sync.h"
+#include "gateway/server_list_sharing.h"
 
 namespace parsleyquay {
 
@@ -81,11 +82,11 @@
   void OnMemberChanges(const std::vector<MemberChange>& changes);
   void OnPeerMessage(const std::string& method, const Json::Value& parameters);
   void OnHeartbeat(const Json::Value& parameters);
-  void ForwardMember(const std::string& name);
+  void OnAggregatorReferral(const Json::Value& parameters);
+  void SendRejoinMessages(const RejoinMessages& messages);
+  void ForwardMember(const std::string& name, MemberUpdateResult result);
   void OnOutcome(const Json::Value& parameters);
   void OnDigest(const Json::Value& parameters);
-  void OnServerListRequest(const Json::Value& parameters);
-  void SendNextServerList();
   void OnTick();
   void UpdateRole();
   void CollectOutcome(const OutcomeReport& report);
@@ -94,6 +95,7 @@
   bool has_to_collect() const;
   void SendHeartbeat();
   void SendDigest();
+  void SendDigestToAll();
   std::vector<std::string> OwnDomainAddresses() const;
   std::vector<std::string> AddressesOf(
       const std::vector<std::string>& names) const;
@@ -105,18 +107,17 @@
   FleetRegistration registration;
   MembershipSync membership_sync;
   AggregatorElection election;
+  RejoinState rejoin;
   ChangeFeedReader<MemberChange> feed_reader;
   Timer tick_timer;
   Timer urgent_timer;
-  Timer list_timer;
+  ServerListSharing server_list_sharing;
   TimePoint started_at;
   bool has_reread_records = false;
   std::optional<AggregationRole> reported_role;
   // Outcomes to be sent with the next digest.
   OutcomeSummary own_domain_outcomes;
   OutcomeSummary other_domain_outcomes;
-  // The members that have requested the list of servers.
-  std::set<std::string> list_requesters;
   TimePoint digest_sent_at;
   TimePoint heartbeat_sent_at;
 };
--- a/libraries/gateway/membership_sync.cc
+++ b/libraries/gateway/membership_sync.cc
@@ -47,14 +47,18 @@
   return kMemberListRequest;
 }
 
-std::vector<std::string> MembershipSync::MergeMembers(const Digest& digest) {
-  std::vector<std::string> changed;
+std::map<std::string, MemberUpdateResult> MembershipSync::MergeMembers(
+    const Digest& digest) {
+  std::map<std::string, MemberUpdateResult> changed;
   for (const DigestMember& member : digest.members) {
     const std::string& name = member.status.record.name;
-    if (name != this->context.settings.name &&
-        UpdateMemberStatus(this->context.members, member.status, member.age,
-                           this->context.Now())) {
-      changed.push_back(name);
+    if (name == this->context.settings.name) {
+      continue;
+    }
+    const MemberUpdateResult result = UpdateMemberStatus(
+        this->context.members, member.status, member.age, this->context.Now());
+    if (result != MemberUpdateResult::kNothing) {
+      changed[name] = result;
     }
   }
   return changed;
@@ -119,6 +123,10 @@
       PeerAddressOf(this->context.members, request.key());
   if (!address.empty()) {
     IncrementCounter(this->context.metrics, "member_lists_sent");
+    // Receivers ignore a status that is older than the newest digest of its
+    // member. The status of this instance is always current.
+    RecordAlive(this->context.members, this->context.settings.name,
+                this->context.Now());
     SendDigestInParts(
         this->context, {address},
         {.sender = this->context.settings.name,
--- a/libraries/gateway/membership_sync.h
+++ b/libraries/gateway/membership_sync.h
@@ -39,9 +39,16 @@
     this->updates.changed_members.insert(name);
   }
 
-  // Merges the members in a digest into the member table. Returns the names of
-  // those whose entry has changed.
-  std::vector<std::string> MergeMembers(const Digest& digest);
+  // Records that a member that had been silent was heard again.
+  void RecordMemberReturn() {
+    RecordReturn(this->updates, this->context.Now());
+  }
+
+  bool has_changes() const { return !this->updates.changed_members.empty(); }
+
+  // Merges the members in a digest into the member table. Returns those whose
+  // status has changed, and those that had been silent.
+  std::map<std::string, MemberUpdateResult> MergeMembers(const Digest& digest);
 
   // Compares the fingerprints in a digest with the member table, for failure
   // domains for which `is_authoritative_for` returns true. Requests
