--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -4,29 +4,21 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "coordination/change_feed_reader.h"
+#include "dissemination/aggregator_election.h"
 #include "dissemination/digest.h"
+#include "dissemination/rejoin.h"
 #include "event/timer.h"
 #include "gateway/fleet_registration.h"
 #include "gateway/gateway_context.h"
 #include "gateway/membership_sync.h"
+#include "gateway/server_list_sharing.h"
 
 namespace parsleyquay {
 
-// The role of this instance in the exchange within its failure domain.
-struct AggregationRole {
-  bool is_aggregator = false;  // collects and forwards the members' reports
-  bool is_standby = false;     // succeeds the aggregator
-  // Receives no digests.
-  bool is_without_aggregator = true;
-
-  bool operator==(const AggregationRole&) const = default;
-};
-
 // Discovers the other instances, monitors which of them are alive, and shares
 // the outcomes of requests to backend servers. In every failure domain the
 // members send heartbeats and outcomes to one of them, the aggregator. Each
@@ -90,13 +82,11 @@
   void OnMemberChanges(const std::vector<MemberChange>& changes);
   void OnPeerMessage(const std::string& method, const Json::Value& parameters);
   void OnHeartbeat(const Json::Value& parameters);
-  void ForwardMember(const std::string& name);
-  bool is_authoritative_for(const std::string& member,
-                            const std::string& failure_domain) const;
+  void OnAggregatorReferral(const Json::Value& parameters);
+  void SendRejoinMessages(const RejoinMessages& messages);
+  void ForwardMember(const std::string& name, MemberUpdateResult result);
   void OnOutcome(const Json::Value& parameters);
   void OnDigest(const Json::Value& parameters);
-  void OnServerListRequest(const Json::Value& parameters);
-  void SendNextServerList();
   void OnTick();
   void UpdateRole();
   void CollectOutcome(const OutcomeReport& report);
@@ -105,8 +95,10 @@
   bool has_to_collect() const;
   void SendHeartbeat();
   void SendDigest();
+  void SendDigestToAll();
   std::vector<std::string> OwnDomainAddresses() const;
-  std::vector<std::string> OtherAggregatorAddresses() const;
+  std::vector<std::string> AddressesOf(
+      const std::vector<std::string>& names) const;
   std::string AddressOf(const std::string& name) const;
   MemberStatus OwnStatus() const;
 
@@ -114,24 +106,18 @@
   Handlers handlers;
   FleetRegistration registration;
   MembershipSync membership_sync;
+  AggregatorElection election;
+  RejoinState rejoin;
   ChangeFeedReader<MemberChange> feed_reader;
   Timer tick_timer;
   Timer urgent_timer;
-  Timer list_timer;
+  ServerListSharing server_list_sharing;
   TimePoint started_at;
   bool has_reread_records = false;
-  AggregationRole current_role;
   std::optional<AggregationRole> reported_role;
-  // Candidates for aggregator of this failure domain, by rank. The first one is
-  // the aggregator.
-  std::vector<std::string> aggregators;
-  TimePoint aggregator_since;    // when the first one became the aggregator
-  TimePoint digest_received_at;  // the newest digest of the aggregator
   // Outcomes to be sent with the next digest.
   OutcomeSummary own_domain_outcomes;
   OutcomeSummary other_domain_outcomes;
-  // The members that have requested the list of servers.
-  std::set<std::string> list_requesters;
   TimePoint digest_sent_at;
   TimePoint heartbeat_sent_at;
 };
