--- a/tests/support/gateway_processes.cc
+++ b/tests/support/gateway_processes.cc
@@ -24,11 +24,14 @@
 
 }  // namespace
 
-GatewayProcesses::GatewayProcesses(int count, bool relays_store)
+GatewayProcesses::GatewayProcesses(int count,
+                                   bool relays_store,
+                                   std::string instance_settings)
     : work_directory(std::filesystem::temp_directory_path() /
                      ("parsleyquay-gateways-" + std::to_string(getpid()) + "-" +
                       std::to_string(reinterpret_cast<std::uintptr_t>(this)))),
-      relays_store(relays_store) {
+      relays_store(relays_store),
+      instance_settings(std::move(instance_settings)) {
   std::filesystem::create_directories(this->work_directory);
   for (int i = 0; i < count; ++i) {
     this->store_addresses.push_back(FreeAddress());
@@ -54,9 +57,9 @@
   gateway.directory_address = FreeAddress();
   gateway.settings_file = this->work_directory / (gateway.name + ".ini");
   std::ofstream file(gateway.settings_file);
-  file << "[instance]\nname = " << gateway.name
-       << "\nfailure_domain = x\n[listen]\nrequests = "
-       << gateway.request_address
+  file << "[instance]\nname = " << gateway.name << "\nfailure_domain = x\n"
+       << this->instance_settings
+       << "[listen]\nrequests = " << gateway.request_address
        << "\nreadiness = " << gateway.readiness_address
        << "\ndirectory = " << gateway.directory_address
        << "\npeers = " << FreeAddress() << "\nmetrics = " << FreeAddress()
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -20,7 +20,10 @@
 class GatewayProcesses {
  public:
   // With `relays_store`, each gateway reaches the store through a TcpRelay.
-  explicit GatewayProcesses(int count, bool relays_store = false);
+  // `instance_settings` are further lines for [instance] of the settings.
+  explicit GatewayProcesses(int count,
+                            bool relays_store = false,
+                            std::string instance_settings = "");
   ~GatewayProcesses();
 
   // Starts the store, publishes the configuration and starts all gateways.
@@ -74,6 +77,9 @@
   const std::string& request_address(int gateway) const {
     return this->gateways[static_cast<std::size_t>(gateway)].request_address;
   }
+  const std::string& readiness_address(int gateway) const {
+    return this->gateways[static_cast<std::size_t>(gateway)].readiness_address;
+  }
 
   bool Await(const std::function<bool()>& condition,
              Duration timeout = seconds(10));
@@ -105,6 +111,7 @@
 
   std::filesystem::path work_directory;
   bool relays_store = false;
+  std::string instance_settings;
   std::vector<std::string> store_addresses;
   std::unique_ptr<ChildProcess> store;
   std::vector<GatewayProcess> gateways;
