--- /dev/null
+++ b/libraries/client_limits/client_limits.h
@@ -0,0 +1,104 @@
+#ifndef PARSLEYQUAY_CLIENT_LIMITS_CLIENT_LIMITS_H_
+#define PARSLEYQUAY_CLIENT_LIMITS_CLIENT_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace parsleyquay {
+
+// What the machine permits one process. Unset: no limit.
+struct ProcessLimits {
+  std::optional<std::uint64_t> memory_bytes;
+  std::optional<std::size_t> descriptors;
+
+  bool operator==(const ProcessLimits&) const = default;
+};
+
+// What all clients together may use of the process. Unset: no limit.
+struct ClientLimits {
+  std::optional<std::uint64_t> bytes;
+  std::optional<std::size_t> connections;
+  // Memory of each connection's receive buffer, and of its send buffer.
+  std::optional<std::size_t> socket_buffer_bytes;
+
+  bool operator==(const ClientLimits&) const = default;
+};
+
+// Returns the share of the process's limits that is left for clients.
+ClientLimits DeriveClientLimits(const ProcessLimits& process);
+
+// Whom a connection waits for.
+enum class ConnectionPhase {
+  kWaitsForClient,  // to send a request or to read a response
+  kWaitsForServer,
+};
+
+// What one client connection uses.
+struct ConnectionLoad {
+  std::size_t index = 0;
+  std::uint64_t bytes = 0;
+  ConnectionPhase phase = ConnectionPhase::kWaitsForClient;
+  Duration age = Duration(0);  // since the current request or pause began
+
+  bool operator==(const ConnectionLoad&) const = default;
+};
+
+// What all client connections use.
+struct ClientUsage {
+  std::uint64_t bytes = 0;
+  std::size_t connections = 0;
+
+  bool operator==(const ClientUsage&) const = default;
+};
+
+// Returns whether clients use more than the limits permit, so that connections
+// are to be closed.
+bool IsOverLimit(const ClientUsage& usage, const ClientLimits& limits);
+
+// Returns whether nothing more may be received from clients, or accepted,
+// before connections have been closed. The margin above the limits is for what
+// arrives meanwhile.
+bool IsFull(const ClientUsage& usage, const ClientLimits& limits);
+
+// Returns whether clients use more than half of the memory that is for them, so
+// that responses should not be buffered beyond need.
+bool IsMemoryTight(const ClientUsage& usage, const ClientLimits& limits);
+
+// Returns the indices of the connections to close, so that the rest is below
+// the limits. Chosen first are those that wait for their client and have held
+// the most memory for the longest time (bytes times age).
+std::vector<std::size_t> SelectConnectionsToClose(
+    std::vector<ConnectionLoad> loads,
+    const ClientLimits& limits);
+
+// How long clients may take.
+struct ClientTimeouts {
+  Duration header;  // for a header section, from its first byte on
+  Duration idle;    // without progress
+
+  bool operator==(const ClientTimeouts&) const = default;
+};
+
+// The state of a connection as far as timeouts need it.
+struct ConnectionProgress {
+  TimePoint progressed_at;  // last byte of a request or response, or accepted
+  // When the first bytes of a header section that is still incomplete were
+  // seen; unset: there is none.
+  std::optional<TimePoint> header_seen_at;
+  ConnectionPhase phase = ConnectionPhase::kWaitsForClient;
+
+  bool operator==(const ConnectionProgress&) const = default;
+};
+
+// Returns whether the connection is to be closed since its client is too slow.
+bool HasTimedOut(const ConnectionProgress& progress,
+                 const ClientTimeouts& timeouts,
+                 TimePoint now);
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_CLIENT_LIMITS_CLIENT_LIMITS_H_
--- a/libraries/gateway/error_response.cc
+++ b/libraries/gateway/error_response.cc
@@ -42,6 +42,7 @@
     case ErrorReason::kNotConfigured:
     case ErrorReason::kNoServerAvailable:
     case ErrorReason::kNotExecuted:
+    case ErrorReason::kOutOfMemory:
     case ErrorReason::kLeaving:
     case ErrorReason::kTimedOutNotExecuted:
       return kServiceUnavailable;
@@ -73,6 +74,8 @@
       return "no_server";
     case ErrorReason::kNotExecuted:
       return "not_run";
+    case ErrorReason::kOutOfMemory:
+      return "out_of_memory";
     case ErrorReason::kLeaving:
       return "leaving";
     case ErrorReason::kTimedOutNotExecuted:
--- a/libraries/gateway/error_response.h
+++ b/libraries/gateway/error_response.h
@@ -21,6 +21,7 @@
   kRateLimited,          // the workspace has exceeded its rate limit
   kNoServerAvailable,    // no server is available, or likely to respond in time
   kNotExecuted,          // no server executed it, and no other one may be tried
+  kOutOfMemory,          // clients use all memory that is for them
   kLeaving,              // the instance exits too soon to serve the request
   kTimedOutNotExecuted,  // at the deadline no server can have executed it
   kTimedOut,             // at the deadline a server may have executed it
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -84,11 +84,21 @@
                    [this] { this->dissemination.AnnounceStatus(); }),
       configuration_watcher(
           this->context,
-          [this] { this->rate_limiter.OnConfigurationChange(); },
+          [this] {
+            this->rate_limiter.OnConfigurationChange();
+            this->ApplyClientTimeouts();
+          },
           [this](const std::set<std::string>& domains) {
             this->server_discovery.SetWithdrawnDomains(domains);
           },
           [this] { this->dissemination.SendDigestSoon(); }),
+      client_budget(loop,
+                    DeriveClientLimits(this->context.settings.process_limits),
+                    [this](ClosureReason reason,
+                           std::size_t count,
+                           const ClientUsage& usage) {
+                      this->OnClientsClosed(reason, count, usage);
+                    }),
       flush_timer(loop, [] { FlushEventLog(); }),
       loop_stall_detector(
           loop,
@@ -117,33 +127,37 @@
             {"failure_domain", settings.failure_domain},
             {"requests", settings.request_address},
             {"store", settings.store_address}});
-  BOOST_LEAF_ASSIGN(
-      this->request_server,
-      HttpServer::Create(this->context.loop, settings.request_address,
-                         [this](std::shared_ptr<ServerExchange> exchange) {
-                           this->OnRequest(std::move(exchange));
-                         }));
+  BOOST_LEAF_ASSIGN(this->request_server,
+                    HttpServer::Create(
+                        this->context.loop, settings.request_address,
+                        [this](std::shared_ptr<ServerExchange> exchange) {
+                          this->OnRequest(std::move(exchange));
+                        },
+                        &this->client_budget));
   BOOST_LEAF_ASSIGN(
       this->readiness_server,
       HttpServer::Create(
           this->context.loop, settings.readiness_address,
           [this](const std::shared_ptr<ServerExchange>& exchange) {
             this->OnReadinessProbe(*exchange);
-          }));
+          },
+          &this->client_budget));
   BOOST_LEAF_ASSIGN(
       this->address_query_server,
       HttpServer::Create(
           this->context.loop, settings.directory_address,
           [this](const std::shared_ptr<ServerExchange>& exchange) {
             this->OnAddressQuery(*exchange);
-          }));
+          },
+          &this->client_budget));
   BOOST_LEAF_ASSIGN(
       this->metrics_server,
       HttpServer::Create(
           this->context.loop, settings.metrics_address,
           [this](const std::shared_ptr<ServerExchange>& exchange) {
             this->OnMetricsRequest(*exchange);
-          }));
+          },
+          &this->client_budget));
   this->configuration_watcher.Start();
   this->server_discovery.Start();
   this->dissemination.Start();
@@ -188,6 +202,25 @@
       ->Start();
 }
 
+void Gateway::ApplyClientTimeouts() {
+  const CallerLimits& limits = this->context.routing->configuration().limits;
+  this->client_budget.SetTimeouts(
+      {.header = limits.header_timeout, .idle = limits.idle_timeout});
+}
+
+void Gateway::OnClientsClosed(ClosureReason reason,
+                              std::size_t count,
+                              const ClientUsage& usage) {
+  const std::string name(ClosureReasonName(reason));
+  IncrementCounter(this->context.metrics,
+                   "clients_closed{reason=\"" + name + "\"}", count);
+  LogEvent(LogLevel::kWarning, "clients_closed",
+           {{"reason", name},
+            {"count", std::to_string(count)},
+            {"connections", std::to_string(usage.connections)},
+            {"bytes", std::to_string(usage.bytes)}});
+}
+
 bool Gateway::is_ready() const {
   return this->context.routing && this->server_discovery.has_been_loaded() &&
          !this->context.is_leaving;
@@ -247,6 +280,9 @@
     IncrementCounter(metrics, "server_list_age_ms",
                      static_cast<std::uint64_t>(ToMilliseconds(*age)));
   }
+  const ClientUsage usage = this->client_budget.usage();
+  IncrementCounter(metrics, "client_connections", usage.connections);
+  IncrementCounter(metrics, "client_bytes", usage.bytes);
   IncrementCounter(metrics, "log_lines_dropped", DroppedLogLines());
   if (this->context.peer_transport) {
     const PeerTrafficCounters& traffic =
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -48,6 +48,10 @@
           WireProtocol protocol);
   Result<void> Start();
   DisseminationAgent::Handlers MakeDisseminationHandlers();
+  void OnClientsClosed(ClosureReason reason,
+                       std::size_t count,
+                       const ClientUsage& usage);
+  void ApplyClientTimeouts();
   void OnRequest(std::shared_ptr<ServerExchange> exchange);
   void OnReadinessProbe(ServerExchange& exchange);
   void OnAddressQuery(ServerExchange& exchange);
@@ -66,6 +70,7 @@
   WorkspaceRateLimiter rate_limiter;
   ConfigurationWatcher configuration_watcher;
   std::map<std::string, FleetRetryBudget> retry_budgets;  // by service
+  ClientBudget client_budget;
   std::unique_ptr<HttpServer> request_server;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> address_query_server;
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "client_limits/client_limits.h"
 #include "coordination/member_record.h"
 #include "ini/ini_document.h"
 #include "rate_limiting/fallback_quota.h"
@@ -33,14 +34,6 @@
   bool operator==(const FleetBounds&) const = default;
 };
 
-// What the machine permits one process.
-struct ProcessLimits {
-  std::optional<std::uint64_t> memory_bytes;  // unset: no limit
-  std::optional<std::size_t> descriptors;     // unset: no limit
-
-  bool operator==(const ProcessLimits&) const = default;
-};
-
 // The settings file of one instance.
 struct GatewaySettings {
   std::string name;  // of the instance, unique in the fleet
--- a/libraries/gateway/proxied_request.cc
+++ b/libraries/gateway/proxied_request.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kMaxBufferedBodyBytes = 64 * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
 
+// The memory of a call to a server: libcurl's buffers and state.
+constexpr std::size_t kCallBytes = 80 * 1024;
+
 // The timeout of requests on routes without one; clients may ask for less.
 constexpr Duration kDefaultTimeout = seconds(30);
 
@@ -77,6 +80,10 @@
        .on_closed = call(&ProxiedRequest::OnClientDisconnected)});
   this->request_id = HeaderValueOrEmpty(
       this->exchange->headers(), this->context.protocol.request_id_header);
+  if (!this->exchange->MayReceiveMore()) {
+    this->RespondWithError({ErrorReason::kOutOfMemory, kDefaultRetryAfter});
+    return;
+  }
   this->routing = this->context.routing;
   if (!this->routing) {
     this->RespondWithError({ErrorReason::kNotConfigured, kDefaultRetryAfter});
@@ -106,6 +113,7 @@
     return false;
   }
   this->framing = *parsed_framing;
+  this->exchange->SetMaxBodyBytes(limits.max_body_bytes);
   if (this->framing.length > limits.max_body_bytes) {
     this->RespondWithError({ErrorReason::kBodyTooLarge});
     return false;
@@ -204,6 +212,7 @@
     }
     this->body.append(buffer.data(), size);
   }
+  this->UpdateHeldBytes();
   this->is_body_fully_buffered = this->exchange->is_body_complete();
   if (this->is_body_fully_buffered ||
       this->body.size() >= kMaxBufferedBodyBytes) {
@@ -212,6 +221,13 @@
   }
 }
 
+// Tells the exchange what memory is held for the client in addition to its own.
+void ProxiedRequest::UpdateHeldBytes() {
+  this->exchange->SetHeldBytes(this->body.capacity() +
+                               this->attempt.buffered_response.capacity() +
+                               (this->attempt.call ? kCallBytes : 0));
+}
+
 void ProxiedRequest::RequestToken() {
   if (this->RejectIfLeaving()) {
     return;
@@ -337,6 +353,7 @@
   this->is_closed = true;
   this->timer.Stop();
   this->exchange->SetHandlers({});
+  this->exchange->SetHeldBytes(0);
   const Duration elapsed = this->context.Now() - this->started_at;
   const std::string route_name = this->matched_route ? this->route().name : "-";
   LogEvent(
--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -80,6 +80,7 @@
   bool FindWorkspace();
   void ComputeDeadline();
   void BufferBody();
+  void UpdateHeldBytes();
   void RequestToken();
   void OnRateLimitDecision(const RateLimitDecision& decision);
   bool CanEndBeforeShutdown() const;
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -8,7 +8,6 @@
 #include "gateway/proxied_request.h"
 #include "http/bind_call_handlers.h"
 #include "http/relayed_body.h"
-#include "logging/event_log.h"
 
 namespace parsleyquay {
 
@@ -64,13 +63,6 @@
   });
 }
 
-std::string ConnectionName(const std::optional<CallConnection>& connection) {
-  if (!connection) {
-    return "none";
-  }
-  return connection->is_reused ? "reused" : "new";
-}
-
 std::string_view AttemptResultName(AttemptResult attempt_result) {
   switch (attempt_result) {
     case AttemptResult::kResponseReceived:
@@ -109,6 +101,7 @@
                                .on_done = &ProxiedRequest::OnDone});
   this->attempt.call =
       this->context.http.Start(this->MakeCall(), std::move(handlers));
+  this->UpdateHeldBytes();
   this->StartTimer();
 }
 
@@ -239,13 +232,18 @@
     this->OnDataOfFailedResponse(data);
     return true;
   }
+  if (!this->exchange->MayReceiveMore()) {
+    return false;
+  }
   this->attempt.buffered_response += data;
+  this->UpdateHeldBytes();
   // The client reads nothing before it has sent the whole request, so that a
   // response which begins earlier would fill the buffers and block the server.
+  const bool buffers_much =
+      !this->is_body_relayed() ||
+      (this->route().is_idempotent && !this->exchange->is_memory_tight());
   const std::size_t max_buffered =
-      this->route().is_idempotent || !this->is_body_relayed()
-          ? kMaxBufferedIdempotentBytes
-          : kMaxBufferedOtherBytes;
+      buffers_much ? kMaxBufferedIdempotentBytes : kMaxBufferedOtherBytes;
   if (this->attempt.buffered_response.size() > max_buffered) {
     this->BeginResponse(
         ParseUnsignedHeader(this->attempt.headers, "Content-Length"));
@@ -431,6 +429,7 @@
   this->exchange->BeginResponse(this->attempt.status, std::move(headers),
                                 length);
   this->exchange->Write(std::exchange(this->attempt.buffered_response, {}));
+  this->UpdateHeldBytes();
 }
 
 void ProxiedRequest::DeliverResponse() {
@@ -482,28 +481,4 @@
   this->Send(*reservation);
 }
 
-void ProxiedRequest::LogAttempt(std::string_view outcome) const {
-  const ServerReservation& reservation = this->attempt.reservation;
-  const Duration elapsed = this->context.Now() - reservation.acquired_at;
-  const std::string connection = ConnectionName(this->attempt.connection);
-  std::vector<LogField> fields = {
-      {"request", this->request_id},
-      {"server", reservation.server},
-      {"outcome", std::string(outcome)},
-      {"status", std::to_string(this->attempt.status)},
-      {"elapsed_ms", std::to_string(ToMilliseconds(elapsed))},
-      {"failure_percent",
-       std::to_string(static_cast<int>(reservation.failure_probability * 100))},
-      {"load", std::to_string(static_cast<int>(reservation.load))},
-      {"repeatable", this->route().is_idempotent ? "yes" : "no"},
-      {"connection", connection}};
-  if (!this->attempt.failure_reason.empty()) {
-    fields.push_back({"reason", this->attempt.failure_reason});
-  }
-  LogEvent(LogLevel::kInfo, "attempt", fields);
-  IncrementCounter(this->context.metrics,
-                   "attempts{outcome=\"" + std::string(outcome) +
-                       "\",connection=\"" + connection + "\"}");
-}
-
 }  // namespace parsleyquay
--- /dev/null
+++ b/libraries/http/client_budget.cc
@@ -0,0 +1,245 @@
+#include "http/client_budget.h"
+
+#include <linux/sock_diag.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <utility>
+
+#include "http/connection_state.h"
+#include "http/server_exchange.h"
+
+namespace parsleyquay {
+
+namespace {
+
+// The part of a connection's memory that libmicrohttpd touches in general. It
+// reserves more (kConnectionMemoryBytes) of which a long header section and
+// request bodies use up to all.
+constexpr std::uint64_t kConnectionBytes = 24 * 1024;
+
+// How often the memory in socket buffers is measured while it may matter, and
+// timeouts are checked.
+constexpr Duration kCheckInterval = milliseconds(100);
+constexpr Duration kTimeoutCheckInterval = seconds(1);
+constexpr Duration kReportInterval = seconds(1);
+// While less than half of the memory is in use.
+constexpr Duration kRareCheckInterval = seconds(1);
+
+// Returns the memory of the data in the kernel's buffers of the connection.
+std::uint64_t SocketBytes(int socket) {
+  std::array<std::uint32_t, SK_MEMINFO_VARS> values = {};
+  socklen_t size = sizeof(values);
+  if (getsockopt(socket, SOL_SOCKET, SO_MEMINFO, values.data(), &size) != 0) {
+    return 0;
+  }
+  return std::uint64_t{values[SK_MEMINFO_RMEM_ALLOC]} +
+         values[SK_MEMINFO_WMEM_QUEUED];
+}
+
+ConnectionPhase PhaseOf(const ClientConnection& connection) {
+  return connection.exchange && connection.exchange->is_awaiting_server()
+             ? ConnectionPhase::kWaitsForServer
+             : ConnectionPhase::kWaitsForClient;
+}
+
+}  // namespace
+
+std::string_view ClosureReasonName(ClosureReason reason) {
+  switch (reason) {
+    case ClosureReason::kLimit:
+      return "limit";
+    case ClosureReason::kRefused:
+      return "refused";
+    case ClosureReason::kTimeout:
+      return "timeout";
+  }
+  return "unknown";
+}
+
+ClientBudget::ClientBudget(EventLoop& loop,
+                           const ClientLimits& limits,
+                           ClosureHandler on_closure)
+    : loop(loop),
+      own_limits(limits),
+      on_closure(std::move(on_closure)),
+      timeouts{.header = Duration::max(), .idle = Duration::max()},
+      regular_check(loop, [this] { this->Check(); }),
+      early_check(loop, [this] { this->Check(); }) {
+  this->regular_check.StartRepeating(kCheckInterval);
+}
+
+ClientUsage ClientBudget::usage() const {
+  return {.bytes = this->connections.size() * kConnectionBytes +
+                   this->held_bytes + this->socket_bytes,
+          .connections = this->connections.size()};
+}
+
+bool ClientBudget::MayAccept() {
+  // A connection that is still to be closed counts until then.
+  if (this->is_full()) {
+    ++this->unreported[ClosureReason::kRefused];
+    return false;
+  }
+  return true;
+}
+
+ClientConnection* ClientBudget::Add(int socket) {
+  this->connections.push_back({.socket = socket,
+                               .began_at = this->loop.Now(),
+                               .progressed_at = this->loop.Now(),
+                               .received_before = 0});
+  this->connections.back().self = std::prev(this->connections.end());
+  this->Charge(0);
+  return &this->connections.back();
+}
+
+void ClientBudget::Remove(const ClientConnection& connection) {
+  this->connections.erase(connection.self);
+}
+
+void ClientBudget::EndRequest(ClientConnection& connection) {
+  connection.exchange = nullptr;
+  connection.began_at = this->loop.Now();
+  connection.progressed_at = this->loop.Now();
+  connection.received_before = std::nullopt;
+  connection.header_seen_at = std::nullopt;
+}
+
+void ClientBudget::Charge(std::int64_t bytes) {
+  this->held_bytes += static_cast<std::uint64_t>(bytes);
+  // NOTE: connections are not closed here, since this is called within
+  // callbacks of libcurl, which must not be told to end other calls there.
+  if (!this->is_check_scheduled && IsOverLimit(this->usage(), this->limits())) {
+    this->is_check_scheduled = true;
+    this->early_check.StartOnce(Duration(0));
+  }
+}
+
+bool ClientBudget::MustWait() {
+  const bool must_wait = this->is_full();
+  this->has_waiting_exchanges = this->has_waiting_exchanges || must_wait;
+  return must_wait;
+}
+
+void ClientBudget::Check() {
+  this->is_check_scheduled = false;
+  if (this->loop.Now() - this->timeouts_checked_at >= kTimeoutCheckInterval) {
+    this->timeouts_checked_at = this->loop.Now();
+    this->CloseTimedOut();
+  }
+  // Without this, each check would ask the kernel about each connection.
+  const std::uint64_t most_socket_bytes =
+      this->connections.size() * 2 *
+      this->limits().socket_buffer_bytes.value_or(0);
+  const ClientUsage most{
+      .bytes = this->usage().bytes - this->socket_bytes + most_socket_bytes,
+      .connections = this->connections.size()};
+  const bool is_urgent =
+      this->is_memory_tight() || IsOverLimit(this->usage(), this->limits());
+  const Duration interval = is_urgent ? Duration(0) : kRareCheckInterval;
+  if (!IsOverLimit(most, this->limits())) {
+    this->socket_bytes = 0;
+  } else if (this->loop.Now() - this->measured_at >= interval) {
+    this->measured_at = this->loop.Now();
+    this->CloseSlowest();
+  }
+  if (this->has_waiting_exchanges && !this->is_full()) {
+    this->has_waiting_exchanges = false;
+    for (const ClientConnection& connection : this->connections) {
+      if (connection.exchange) {
+        connection.exchange->ContinueWithinBudget();
+      }
+    }
+  }
+  this->ReportClosures();
+}
+
+void ClientBudget::ReportClosures() {
+  if (this->unreported.empty() ||
+      this->loop.Now() - this->reported_at < kReportInterval) {
+    return;
+  }
+  this->reported_at = this->loop.Now();
+  for (const auto& [reason, count] : std::exchange(this->unreported, {})) {
+    this->on_closure(reason, count, this->usage());
+  }
+}
+
+void ClientBudget::CloseSlowest() {
+  std::vector<ClientConnection*> candidates;
+  std::vector<ConnectionLoad> loads;
+  this->socket_bytes = 0;
+  for (ClientConnection& connection : this->connections) {
+    const std::uint64_t socket_bytes =
+        this->limits().bytes ? SocketBytes(connection.socket) : 0;
+    this->socket_bytes += socket_bytes;
+    if (connection.is_closing) {
+      continue;
+    }
+    const std::uint64_t held_bytes =
+        connection.exchange ? connection.exchange->charged_bytes() : 0;
+    loads.push_back({.index = candidates.size(),
+                     .bytes = kConnectionBytes + held_bytes + socket_bytes,
+                     .phase = PhaseOf(connection),
+                     .age = this->loop.Now() - connection.began_at});
+    candidates.push_back(&connection);
+  }
+  for (const std::size_t index :
+       SelectConnectionsToClose(std::move(loads), this->limits())) {
+    this->Close(*candidates[index], ClosureReason::kLimit);
+  }
+}
+
+void ClientBudget::CloseTimedOut() {
+  const TimePoint now = this->loop.Now();
+  for (ClientConnection& connection : this->connections) {
+    if (!connection.is_closing && this->HasTimedOut(connection, now)) {
+      this->Close(connection, ClosureReason::kTimeout);
+    }
+  }
+}
+
+bool ClientBudget::HasTimedOut(ClientConnection& connection,
+                               TimePoint now) const {
+  // A header section that arrives at once is never seen here, so that only
+  // connections that are idle for longer cost a call of the kernel.
+  const bool may_have_header =
+      !connection.exchange && !connection.header_seen_at &&
+      now - connection.began_at >= kTimeoutCheckInterval;
+  if (may_have_header) {
+    const auto received = CountReceivedBytes(connection.socket);
+    if (!connection.received_before) {
+      connection.received_before = received;
+    } else if (received && *received > *connection.received_before) {
+      connection.header_seen_at = now;
+    }
+  }
+  return parsleyquay::HasTimedOut({.progressed_at = connection.progressed_at,
+                                   .header_seen_at = connection.header_seen_at,
+                                   .phase = PhaseOf(connection)},
+                                  this->timeouts, now);
+}
+
+void ClientBudget::Close(ClientConnection& connection, ClosureReason reason) {
+  connection.is_closing = true;
+  ++this->unreported[reason];
+  // Discards what waits in the socket's buffers, which the kernel would
+  // otherwise keep until a client that does not read has read it. A client that
+  // is only idle can still read its last response.
+  const bool discards =
+      reason == ClosureReason::kLimit || connection.exchange != nullptr;
+  if (discards) {
+    const linger discard = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(connection.socket, SOL_SOCKET, SO_LINGER, &discard,
+               sizeof(discard));
+  }
+  shutdown(connection.socket, SHUT_RDWR);
+  if (connection.exchange) {
+    connection.exchange->OnConnectionLost();
+  }
+}
+
+}  // namespace parsleyquay
--- /dev/null
+++ b/libraries/http/client_budget.h
@@ -0,0 +1,107 @@
+#ifndef PARSLEYQUAY_HTTP_CLIENT_BUDGET_H_
+#define PARSLEYQUAY_HTTP_CLIENT_BUDGET_H_
+
+#include <microhttpd.h>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <string_view>
+
+#include "client_limits/client_limits.h"
+#include "event/event_loop.h"
+#include "event/timer.h"
+
+namespace parsleyquay {
+
+class ServerExchange;
+
+// A connection of a client to one of the servers of the process.
+struct ClientConnection {
+  int socket = -1;
+  ServerExchange* exchange = nullptr;  // null between two requests
+  TimePoint began_at;       // of the current request, or of the pause before it
+  TimePoint progressed_at;  // last data from or to the client
+  // Bytes received when the current pause began; unset until it is known.
+  std::optional<std::uint64_t> received_before;
+  std::optional<TimePoint> header_seen_at;  // see ConnectionProgress
+  bool is_closing = false;
+  std::list<ClientConnection>::iterator self;  // in the budget's list
+};
+
+// Why connections are closed.
+enum class ClosureReason {
+  kLimit,    // the slowest ones, since the limits were exceeded
+  kRefused,  // new ones, above the margin of the limits
+  kTimeout,
+};
+
+// "limit", "refused" or "timeout".
+std::string_view ClosureReasonName(ClosureReason reason);
+
+// Keeps the memory and the connections of all clients of the process, at all
+// its HttpServers, within limits: closes connections when they are exceeded,
+// and those whose clients are too slow.
+class ClientBudget {
+ public:
+  // Reports connections that were closed, at most once in a second.
+  using ClosureHandler = std::function<
+      void(ClosureReason reason, std::size_t count, const ClientUsage& usage)>;
+
+  ClientBudget(EventLoop& loop,
+               const ClientLimits& limits,
+               ClosureHandler on_closure);
+
+  const ClientLimits& limits() const { return this->own_limits; }
+  void SetTimeouts(const ClientTimeouts& timeouts) {
+    this->timeouts = timeouts;
+  }
+
+  // Returns whether a new connection may be accepted.
+  bool MayAccept();
+  ClientConnection* Add(int socket);
+  void Remove(const ClientConnection& connection);
+  // Records that the connection is between two requests from now on.
+  void EndRequest(ClientConnection& connection);
+
+  // Adds to, or subtracts from, the memory that requests hold.
+  void Charge(std::int64_t bytes);
+  // Returns whether nothing more may be received for now. If not, the exchange
+  // is told by ContinueWithinBudget() when it may.
+  bool MustWait();
+  bool is_full() const { return IsFull(this->usage(), this->own_limits); }
+  bool is_memory_tight() const {
+    return IsMemoryTight(this->usage(), this->own_limits);
+  }
+  // Returns what clients use, with the socket buffers as last measured.
+  ClientUsage usage() const;
+
+ private:
+  void Check();
+  void CloseSlowest();
+  void CloseTimedOut();
+  bool HasTimedOut(ClientConnection& connection, TimePoint now) const;
+  void Close(ClientConnection& connection, ClosureReason reason);
+  void ReportClosures();
+
+  EventLoop& loop;
+  ClientLimits own_limits;
+  ClosureHandler on_closure;
+  ClientTimeouts timeouts;
+  std::list<ClientConnection> connections;
+  std::uint64_t held_bytes = 0;    // by requests
+  std::uint64_t socket_bytes = 0;  // in socket buffers, at the last check
+  std::map<ClosureReason, std::size_t> unreported;  // closures
+  TimePoint reported_at;
+  TimePoint measured_at;  // the socket buffers
+  TimePoint timeouts_checked_at;
+  bool is_check_scheduled = false;
+  bool has_waiting_exchanges = false;
+  Timer regular_check;
+  Timer early_check;
+};
+
+}  // namespace parsleyquay
+
+#endif  // PARSLEYQUAY_HTTP_CLIENT_BUDGET_H_
--- a/libraries/http/connection_state.cc
+++ b/libraries/http/connection_state.cc
@@ -33,4 +33,11 @@
                   : std::nullopt;
 }
 
+void LimitSocketBuffers(int socket, std::size_t bytes) {
+  // The kernel doubles the value, since it counts its own overhead too.
+  const int size = static_cast<int>(bytes / 2);
+  setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+}
+
 }  // namespace parsleyquay
--- a/libraries/http/connection_state.h
+++ b/libraries/http/connection_state.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_HTTP_CONNECTION_STATE_H_
 #define PARSLEYQUAY_HTTP_CONNECTION_STATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -21,6 +22,10 @@
 // std::nullopt if the system does not tell.
 std::optional<std::uint64_t> CountReceivedBytes(int socket);
 
+// Sets the memory of the socket's receive buffer, and of its send buffer, which
+// otherwise grow with the throughput. Accepted connections inherit the sizes.
+void LimitSocketBuffers(int socket, std::size_t bytes);
+
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_HTTP_CONNECTION_STATE_H_
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -178,7 +178,11 @@
 }
 
 int HttpCall::OnSocketOpened(void* self, curl_socket_t socket, curlsocktype) {
-  static_cast<HttpCall*>(self)->socket = socket;
+  auto* call = static_cast<HttpCall*>(self);
+  call->socket = socket;
+  if (call->client.socket_buffer_bytes) {
+    LimitSocketBuffers(socket, *call->client.socket_buffer_bytes);
+  }
   return CURL_SOCKOPT_OK;
 }
 
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -31,6 +31,11 @@
   curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kIdleConnectionLimit);
 }
 
+void HttpClient::LimitConnections(std::size_t count) {
+  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
+                    std::min(kIdleConnectionLimit, static_cast<long>(count)));
+}
+
 HttpClient::~HttpClient() {
   for (const auto& [raw, call] : this->calls) {
     curl_multi_remove_handle(this->multi, call->easy);
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,16 @@
       std::string body,
       std::function<void(const BufferedResponse&)> on_response);
 
+  // Sets the memory of the receive buffer of each connection that is opened
+  // from now on, and of its send buffer.
+  void LimitSocketBuffers(std::size_t bytes) {
+    this->socket_buffer_bytes = bytes;
+  }
+
+  // Closes the connection that was idle for longest when there are more. Calls
+  // in progress are not limited.
+  void LimitConnections(std::size_t count);
+
   // Lets libcurl process resumed calls on the next iteration of the loop.
   void ScheduleRun();
 
@@ -73,6 +84,7 @@
   static int OnTimer(CURLM*, long timeout_ms, void* self);
 
   EventLoop& loop;
+  std::optional<std::size_t> socket_buffer_bytes;
   CURLM* multi;
   Timer timer;
   std::map<curl_socket_t, std::unique_ptr<IoWatcher>> watchers;
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "base/socket_address.h"
+#include "http/connection_state.h"
 
 namespace parsleyquay {
 
@@ -21,9 +22,10 @@
 
 }  // namespace
 
-HttpServer::HttpServer(EventLoop& loop, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, Handler handler, ClientBudget* budget)
     : event_loop(loop),
       handler(std::move(handler)),
+      client_budget(budget),
       watcher(loop, [this](int) { this->RunDaemon(); }),
       timer(loop, [this] { this->RunDaemon(); }) {}
 
@@ -38,8 +40,10 @@
 Result<std::unique_ptr<HttpServer>> HttpServer::Create(
     EventLoop& loop,
     const std::string& address,
-    Handler handler) {
-  std::unique_ptr<HttpServer> server(new HttpServer(loop, std::move(handler)));
+    Handler handler,
+    ClientBudget* budget) {
+  std::unique_ptr<HttpServer> server(
+      new HttpServer(loop, std::move(handler), budget));
   BOOST_LEAF_CHECK(server->Start(address));
   return server;
 }
@@ -47,9 +51,10 @@
 Result<void> HttpServer::Start(const std::string& address) {
   BOOST_LEAF_AUTO(socket_address, ParseSocketAddress(address));
   this->daemon = MHD_start_daemon(
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, &HttpServer::OnAccept, this,
       &HttpServer::OnAccess, this, MHD_OPTION_SOCK_ADDR, &socket_address,
       MHD_OPTION_NOTIFY_COMPLETED, &HttpServer::OnCompleted, this,
+      MHD_OPTION_NOTIFY_CONNECTION, &HttpServer::OnConnection, this,
       MHD_OPTION_URI_LOG_CALLBACK, &HttpServer::OnUri, this,
       MHD_OPTION_CONNECTION_LIMIT, kConnectionLimit,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes,
@@ -58,6 +63,12 @@
   if (!this->daemon) {
     return Fail({"listen", address, "cannot listen on this address"});
   }
+  if (this->client_budget &&
+      this->client_budget->limits().socket_buffer_bytes) {
+    LimitSocketBuffers(
+        MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd,
+        *this->client_budget->limits().socket_buffer_bytes);
+  }
   const auto* info =
       MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   this->watcher.Start(info->epoll_fd, EV_READ);
@@ -65,6 +76,28 @@
   return {};
 }
 
+MHD_Result HttpServer::OnAccept(void* self, const sockaddr*, socklen_t) {
+  ClientBudget* budget = static_cast<HttpServer*>(self)->client_budget;
+  return !budget || budget->MayAccept() ? MHD_YES : MHD_NO;
+}
+
+void HttpServer::OnConnection(void* self,
+                              MHD_Connection* connection,
+                              void** socket_context,
+                              MHD_ConnectionNotificationCode code) {
+  ClientBudget* budget = static_cast<HttpServer*>(self)->client_budget;
+  if (!budget) {
+    return;
+  }
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    *socket_context = budget->Add(info->connect_fd);
+  } else {
+    budget->Remove(*static_cast<ClientConnection*>(*socket_context));
+  }
+}
+
 void HttpServer::ScheduleRun() {
   this->timer.StartOnce(Duration(0));
 }
@@ -97,6 +130,15 @@
   return new PendingRequest{uri, nullptr};
 }
 
+ClientConnection* HttpServer::ClientOf(MHD_Connection* connection) const {
+  if (!this->client_budget) {
+    return nullptr;
+  }
+  const auto* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return static_cast<ClientConnection*>(info->socket_context);
+}
+
 MHD_Result HttpServer::OnAccess(void* self,
                                 MHD_Connection* connection,
                                 const char*,
@@ -111,7 +153,8 @@
     return pending->exchange->OnUpload(upload_data, upload_data_size);
   }
   pending->exchange = std::make_shared<ServerExchange>(
-      *server, connection, method, std::move(pending->target), version);
+      *server, connection, server->ClientOf(connection), method,
+      std::move(pending->target), version);
   ++server->exchange_count;
   server->handler(pending->exchange);
   if (pending->exchange->has_response) {
@@ -121,7 +164,7 @@
 }
 
 void HttpServer::OnCompleted(void* self,
-                             MHD_Connection*,
+                             MHD_Connection* connection,
                              void** context,
                              MHD_RequestTerminationCode) {
   auto* server = static_cast<HttpServer*>(self);
@@ -133,6 +176,9 @@
   }
   --server->exchange_count;
   pending->exchange->OnCompleted();
+  if (ClientConnection* client = server->ClientOf(connection)) {
+    server->client_budget->EndRequest(*client);
+  }
 }
 
 }  // namespace parsleyquay
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -11,6 +11,7 @@
 #include "event/event_loop.h"
 #include "event/io_watcher.h"
 #include "event/timer.h"
+#include "http/client_budget.h"
 #include "http/server_exchange.h"
 
 namespace parsleyquay {
@@ -23,13 +24,17 @@
 
   // Listens on `address`, an "ip:port" pair, and calls `handler` for every
   // request once its header section has arrived. Fails if the address is
-  // malformed or cannot be listened on.
-  static Result<std::unique_ptr<HttpServer>> Create(EventLoop& loop,
-                                                    const std::string& address,
-                                                    Handler handler);
+  // malformed or cannot be listened on. Its clients are counted in `budget`, if
+  // there is one, which must outlive the server.
+  static Result<std::unique_ptr<HttpServer>> Create(
+      EventLoop& loop,
+      const std::string& address,
+      Handler handler,
+      ClientBudget* budget = nullptr);
   ~HttpServer();
 
   EventLoop& loop() { return this->event_loop; }
+  ClientBudget* budget() { return this->client_budget; }
   // The number of requests that have not been completed.
   std::size_t open_exchanges() const { return this->exchange_count; }
 
@@ -48,7 +53,7 @@
   bool is_keep_alive_disabled() const { return this->is_closing; }
 
  private:
-  HttpServer(EventLoop& loop, Handler handler);
+  HttpServer(EventLoop& loop, Handler handler, ClientBudget* budget);
   Result<void> Start(const std::string& address);
   void RunDaemon();
   static MHD_Result OnAccess(void* self,
@@ -63,10 +68,18 @@
                           MHD_Connection* connection,
                           void** context,
                           MHD_RequestTerminationCode code);
+  static MHD_Result OnAccept(void* self, const sockaddr*, socklen_t);
+  static void OnConnection(void* self,
+                           MHD_Connection* connection,
+                           void** socket_context,
+                           MHD_ConnectionNotificationCode code);
+  // Returns null without a budget.
+  ClientConnection* ClientOf(MHD_Connection* connection) const;
   static void* OnUri(void* self, const char* uri, MHD_Connection* connection);
 
   EventLoop& event_loop;
   Handler handler;
+  ClientBudget* client_budget = nullptr;
   MHD_Daemon* daemon = nullptr;
   IoWatcher watcher;
   Timer timer;
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
+#include "http/client_budget.h"
 #include "http/http_server.h"
 
 namespace parsleyquay {
@@ -13,6 +15,18 @@
 
 constexpr std::size_t kResponseBlockBytes = 32 * 1024;
 
+// A header that is sent to a server exists three times: as received, in the
+// call, and as libcurl keeps it.
+constexpr std::size_t kHeaderCopies = 3;
+
+std::size_t MemoryOf(const HeaderList& headers) {
+  std::size_t bytes = headers.capacity() * sizeof(Header);
+  for (const Header& header : headers) {
+    bytes += header.name.size() + header.value.size();
+  }
+  return bytes * kHeaderCopies;
+}
+
 MHD_Result CollectHeader(void* headers,
                          MHD_ValueKind,
                          const char* name,
@@ -25,11 +39,13 @@
 
 ServerExchange::ServerExchange(HttpServer& server,
                                MHD_Connection* connection,
+                               ClientConnection* client,
                                std::string method,
                                std::string target,
                                std::string version)
     : server(server),
       connection(connection),
+      client(client),
       request_method(std::move(method)),
       request_target(std::move(target)),
       request_version(std::move(version)),
@@ -37,10 +53,80 @@
                          [this](int) { this->OnSocketReadable(); }) {
   MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
                             &this->request_headers);
+  if (this->client) {
+    this->client->exchange = this;
+    this->client->began_at = server.loop().Now();
+    this->header_bytes = MemoryOf(this->request_headers);
+    this->UpdateCharge();
+  }
 }
 
 ServerExchange::~ServerExchange() = default;
 
+void ServerExchange::UpdateCharge() {
+  if (!this->client) {
+    return;
+  }
+  // The socket's buffers fill while nothing is read, or a response is not.
+  const std::size_t socket_buffer_bytes =
+      this->server.budget()->limits().socket_buffer_bytes.value_or(0);
+  const bool fills_receive_buffer =
+      this->is_suspended && !this->is_upload_complete;
+  const bool fills_send_buffer =
+      this->has_response && !this->response_buffer.empty();
+  const std::size_t bytes =
+      this->header_bytes + this->request_buffer.capacity() +
+      this->response_buffer.capacity() + this->held_bytes +
+      (fills_receive_buffer ? socket_buffer_bytes : 0) +
+      (fills_send_buffer ? socket_buffer_bytes : 0);
+  if (bytes != this->charged) {
+    const std::size_t before = std::exchange(this->charged, bytes);
+    this->server.budget()->Charge(static_cast<std::int64_t>(bytes) -
+                                  static_cast<std::int64_t>(before));
+  }
+}
+
+void ServerExchange::NoteProgress() {
+  if (this->client) {
+    this->client->progressed_at = this->server.loop().Now();
+  }
+}
+
+void ServerExchange::SetHeldBytes(std::size_t bytes) {
+  this->held_bytes = bytes;
+  this->UpdateCharge();
+}
+
+bool ServerExchange::MayReceiveMore() {
+  const bool must_wait = this->client && this->server.budget()->MustWait();
+  // Only ContinueWithinBudget() resets this: both bodies may wait.
+  this->is_waiting_for_budget = this->is_waiting_for_budget || must_wait;
+  return !must_wait;
+}
+
+bool ServerExchange::is_memory_tight() const {
+  return this->client && this->server.budget()->is_memory_tight();
+}
+
+void ServerExchange::ContinueWithinBudget() {
+  if (!this->is_waiting_for_budget) {
+    return;
+  }
+  this->is_waiting_for_budget = false;
+  this->Resume();
+  if (this->handlers.on_writable) {
+    this->handlers.on_writable();
+  }
+}
+
+// Frees what has arrived of the request body, when nobody reads it any more.
+void ServerExchange::DiscardUpload() {
+  if (!this->is_upload_complete) {
+    std::string().swap(this->request_buffer);
+  }
+  this->UpdateCharge();
+}
+
 void ServerExchange::SetHandlers(ExchangeHandlers handlers) {
   this->handlers = std::move(handlers);
 }
@@ -59,6 +145,7 @@
   this->BeginResponse(status, std::move(headers), body.size());
   this->response_buffer = std::move(body);
   this->is_response_complete = true;
+  this->DiscardUpload();
 }
 
 void ServerExchange::BeginResponse(int status,
@@ -76,11 +163,13 @@
 
 void ServerExchange::Write(std::string_view data) {
   this->response_buffer += data;
+  this->UpdateCharge();
   this->Resume();
 }
 
 void ServerExchange::Finish() {
   this->is_response_complete = true;
+  this->DiscardUpload();
   this->Resume();
 }
 
@@ -94,16 +183,26 @@
     return MHD_NO;
   }
   if (*size > 0) {
+    this->NoteProgress();
     if (this->is_response_complete) {
       *size = 0;  // Nobody reads the rest of the body.
       return MHD_YES;
     }
+    if (!this->MayReceiveMore()) {
+      this->Suspend();
+      return MHD_YES;
+    }
     const std::size_t room =
         kStreamBufferBytes -
         std::min(kStreamBufferBytes, this->request_buffer.size());
     const std::size_t taken = std::min(room, *size);
+    this->received_body_bytes += taken;
+    if (this->received_body_bytes > this->max_body_bytes) {
+      return MHD_NO;
+    }
     this->request_buffer.append(data, taken);
     *size -= taken;
+    this->UpdateCharge();
     if (*size > 0) {
       this->Suspend();
     }
@@ -162,6 +261,11 @@
   const std::size_t size = std::min(capacity, this->response_buffer.size());
   std::memcpy(buffer, this->response_buffer.data(), size);
   this->response_buffer.erase(0, size);
+  this->NoteProgress();
+  if (this->response_buffer.empty() && this->is_response_complete) {
+    std::string().swap(this->response_buffer);
+    this->UpdateCharge();
+  }
   if (!this->is_response_complete && this->handlers.on_writable) {
     this->handlers.on_writable();
   }
@@ -178,6 +282,12 @@
     this->handlers.on_closed();
   }
   this->handlers = {};
+  // The object may live on for a moment, but no longer uses the connection.
+  if (this->client) {
+    this->server.budget()->Charge(-static_cast<std::int64_t>(this->charged));
+    this->charged = 0;
+    this->client = nullptr;
+  }
 }
 
 void ServerExchange::Suspend() {
@@ -185,6 +295,7 @@
     return;
   }
   this->is_suspended = true;
+  this->UpdateCharge();
   MHD_suspend_connection(this->connection);
   // NOTE: libmicrohttpd does not watch the socket of a suspended connection,
   // so this watcher detects a client that disconnects.
@@ -198,6 +309,8 @@
     return;
   }
   this->is_suspended = false;
+  this->UpdateCharge();
+  this->NoteProgress();  // The client is only waited for from now on.
   this->disconnect_watcher.Stop();
   MHD_resume_connection(this->connection);
   this->server.ScheduleRun();
@@ -218,6 +331,11 @@
   if (has_data) {
     return;  // The client has sent more data, such as its next request.
   }
+  this->OnConnectionLost();
+}
+
+void ServerExchange::OnConnectionLost() {
+  this->disconnect_watcher.Stop();
   this->is_aborted = true;
   const auto on_closed = std::move(this->handlers.on_closed);
   this->handlers = {};
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -16,6 +16,7 @@
 namespace parsleyquay {
 
 class HttpServer;
+struct ClientConnection;
 
 struct ExchangeHandlers {
   std::function<void()> on_body;      // request data arrived, or the body ended
@@ -33,6 +34,7 @@
 
   ServerExchange(HttpServer& server,
                  MHD_Connection* connection,
+                 ClientConnection* client,
                  std::string method,
                  std::string target,
                  std::string version);
@@ -74,12 +76,38 @@
   // sees an incomplete response.
   void Abort();
 
+  // The connection is closed when the request body exceeds this size.
+  void SetMaxBodyBytes(std::uint64_t bytes) { this->max_body_bytes = bytes; }
+
+  // Tells how much memory the owner holds for this exchange.
+  void SetHeldBytes(std::size_t bytes);
+  // Returns whether the owner may receive more for this exchange now. If not,
+  // `on_writable` is called when it may.
+  bool MayReceiveMore();
+  // Returns whether the memory for clients is scarce.
+  bool is_memory_tight() const;
+
+  // Returns whether the exchange goes on once a server, or this instance, has
+  // done something, not the client.
+  bool is_awaiting_server() const {
+    return this->is_suspended && !this->is_waiting_for_budget;
+  }
+  // Returns the memory that the exchange and its owner hold.
+  std::size_t charged_bytes() const { return this->charged; }
+
   bool has_begun_response() const { return this->has_response; }
   bool is_closed() const { return this->is_connection_closed; }
 
  private:
+  friend class ClientBudget;
   friend class HttpServer;
 
+  // Ends the exchange, since its connection has been or is being closed.
+  void OnConnectionLost();
+  void ContinueWithinBudget();
+  void UpdateCharge();
+  void NoteProgress();
+  void DiscardUpload();
   MHD_Result OnUpload(const char* data, std::size_t* size);
   MHD_Result QueueResponse();
   ssize_t ReadResponse(char* buffer, std::size_t capacity);
@@ -90,6 +118,7 @@
 
   HttpServer& server;
   MHD_Connection* connection;
+  ClientConnection* client = nullptr;  // null without a budget
   std::string request_method;
   std::string request_target;
   std::string request_version;
@@ -109,6 +138,13 @@
   HeaderList response_headers;
   std::optional<std::uint64_t> response_length;
   std::string response_buffer;
+
+  std::uint64_t max_body_bytes = UINT64_MAX;
+  std::uint64_t received_body_bytes = 0;
+  std::size_t header_bytes = 0;  // memory of the headers and of their copies
+  std::size_t held_bytes = 0;    // by the owner
+  std::size_t charged = 0;       // to the budget
+  bool is_waiting_for_budget = false;
 };
 
 }  // namespace parsleyquay
--- a/meta/libraries.cmake
+++ b/meta/libraries.cmake
@@ -5,6 +5,7 @@
   ini
   declaration
   event
+  client_limits
   http
   rpc
   fleet
--- /dev/null
+++ b/tests/client_limits/client_limits_test.cc
@@ -0,0 +1,89 @@
+// Tests which clients lose their connections when the process runs short of
+// memory or descriptors.
+
+#include "client_limits/client_limits.h"
+
+#include <catch2/catch.hpp>
+
+namespace parsleyquay {
+namespace {
+
+// Guards against limits where the settings state none.
+TEST_CASE("unset process limits leave clients unlimited") {
+  const ClientLimits limits = DeriveClientLimits({});
+  CHECK(limits == ClientLimits{});
+  const ClientUsage usage{.bytes = 1'000'000'000, .connections = 100'000};
+  CHECK_FALSE(IsOverLimit(usage, limits));
+  CHECK_FALSE(IsFull(usage, limits));
+  CHECK_FALSE(IsMemoryTight(usage, limits));
+}
+
+// The machines of the fleet, and settings that are too low for any client.
+TEST_CASE("clients get a share of the process limits") {
+  const ClientLimits small =
+      DeriveClientLimits({.memory_bytes = 112'000'000, .descriptors = 2'870});
+  CHECK(small.bytes == 40'000'000);
+  CHECK(small.connections == 1'158);
+  const ClientLimits large =
+      DeriveClientLimits({.memory_bytes = 512'000'000, .descriptors = 8'192});
+  CHECK(large.bytes == 240'000'000);
+  CHECK(large.connections == 3'523);
+  CHECK(large.socket_buffer_bytes == 256 * 1024);
+  const ClientLimits lowest =
+      DeriveClientLimits({.memory_bytes = 8'000'000, .descriptors = 64});
+  CHECK(lowest.bytes == 2'000'000);
+  CHECK(lowest.connections == 1);
+}
+
+constexpr ClientLimits kLimits{.bytes = 800, .connections = 8};
+
+// Load: clients that stopped short of the end of their bodies, among ordinary
+// ones that are idle, new, or wait for a server.
+TEST_CASE("clients that hold memory for long are closed first") {
+  const std::vector<ConnectionLoad> loads = {
+      {.index = 0, .bytes = 24, .age = seconds(12)},  // idle
+      {.index = 1, .bytes = 300, .age = seconds(4)},  // stopped
+      {.index = 2, .bytes = 300, .age = milliseconds(10)},
+      {.index = 3,
+       .bytes = 200,
+       .phase = ConnectionPhase::kWaitsForServer,
+       .age = seconds(20)},
+      {.index = 4, .bytes = 250, .age = seconds(3)}};  // stopped
+  CHECK(SelectConnectionsToClose(loads, kLimits) ==
+        std::vector<std::size_t>{1, 4});
+}
+
+TEST_CASE("too many connections close the one that was idle for longest") {
+  std::vector<ConnectionLoad> loads;
+  for (std::size_t i = 0; i < 9; ++i) {
+    loads.push_back(
+        {.index = i, .bytes = 10, .age = milliseconds(100 * (i % 5))});
+  }
+  CHECK(SelectConnectionsToClose(loads, kLimits) ==
+        std::vector<std::size_t>{4, 3});
+}
+
+TEST_CASE("nothing is closed within the limits") {
+  const std::vector<ConnectionLoad> loads(8,
+                                          {.bytes = 100, .age = seconds(100)});
+  CHECK(SelectConnectionsToClose(loads, kLimits).empty());
+}
+
+// Guards against the refusal of a client that pauses as long as it may.
+TEST_CASE("timeouts apply to clients only") {
+  const ClientTimeouts timeouts{.header = seconds(3), .idle = seconds(15)};
+  const TimePoint start;
+  CHECK_FALSE(
+      HasTimedOut({.progressed_at = start}, timeouts, start + seconds(12)));
+  CHECK(HasTimedOut({.progressed_at = start}, timeouts, start + seconds(16)));
+  const ConnectionProgress header{.progressed_at = start,
+                                  .header_seen_at = start + seconds(11)};
+  CHECK_FALSE(HasTimedOut(header, timeouts, start + seconds(14)));
+  CHECK(HasTimedOut(header, timeouts, start + milliseconds(14'100)));
+  CHECK_FALSE(HasTimedOut(
+      {.progressed_at = start, .phase = ConnectionPhase::kWaitsForServer},
+      timeouts, start + seconds(60)));
+}
+
+}  // namespace
+}  // namespace parsleyquay
--- a/tests/promises/misbehaving_clients_test.cc
+++ b/tests/promises/misbehaving_clients_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <string>
 
@@ -248,5 +249,46 @@
   CHECK(gateway.most_descriptors <= kMaxDescriptors);
 }
 
+// Guards against limits that refuse a client which keeps within those that the
+// configuration states: the largest body, and the longest pause.
+TEST_CASE("an idle instance serves clients up to every limit") {
+  GatewayProcesses gateway(1, false, "memory = 112\ndescriptors = 2870\n");
+  std::string configuration = ConfigurationText(1, {{"shop", R"("shop-key")"}});
+  const std::string timeout = "1500ms";
+  for (std::size_t at = configuration.find(timeout); at != std::string::npos;
+       at = configuration.find(timeout)) {
+    configuration.replace(at, timeout.size(), "60s");
+  }
+  REQUIRE(gateway.Start(configuration));
+  std::size_t received = 0;
+  gateway.AddServer("s-1", [&](const RawRequest& request) {
+    received = request.body.size();
+    return RawResponse{SignedOkResponse(request, "fine")};
+  });
+  REQUIRE(gateway.Await(
+      [&] { return gateway.Send(0, "GET", "/safe/1").status == 200; }));
+  const auto send = [&](const std::string& body) {
+    std::optional<int> status;
+    gateway.client.Fetch({.method = "POST",
+                          .address = gateway.request_address(0),
+                          .target = "/once/1",
+                          .headers = {{"Host", "a.example"},
+                                      {"Request-Id", "r-1"},
+                                      {"Authorization", "Bearer shop-key"}},
+                          .total_timeout = seconds(60)},
+                         body, [&](const BufferedResponse& response) {
+                           status = response.status;
+                         });
+    gateway.Await([&] { return status.has_value(); }, seconds(60));
+    return status.value_or(0);
+  };
+  constexpr std::size_t kMaxBodyBytes = 67'108'864;
+  CHECK(send(std::string(kMaxBodyBytes, 'b')) == 200);
+  CHECK(received == kMaxBodyBytes);
+  gateway.RunFor(seconds(12));
+  CHECK(send("body") == 200);
+  CHECK(gateway.Log(0).find("event=clients_closed") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace parsleyquay
