tests: Wait for a returning store's fleet with an unlimited workspace

Cause: one of nine runs failed while the fleet started, before any fault: no request to one gateway got 200 within 10 s. The test waits by sending as fast as it can, with a workspace whose limit and fallback quota that uses up. The log of the failed run was not kept, so this cause is an assumption.

Change: it waits with a workspace without a limit, as platform_test does. The checks after the fault are as before.

--- a/tests/promises/returning_store_test.cc
+++ b/tests/promises/returning_store_test.cc
@@ -15,8 +15,13 @@
 constexpr int kOthers = 3;    // gateways that run throughout
 constexpr int kStarting = 3;  // the gateway that starts while the store is away
 
-std::string Configuration(int version, const std::string& keys) {
-  return ConfigurationText(version, {{"shop", keys, 300, 100}});
+// "shop" has a rate limit, so that shards matter; "unlimited" has none, so that
+// a test can send until a request is served.
+std::string Configuration(int version,
+                          const std::string& shop_keys,
+                          const std::string& unlimited_keys) {
+  return ConfigurationText(
+      version, {{"shop", shop_keys, 300, 100}, {"unlimited", unlimited_keys}});
 }
 
 // Whether an owner of the shard has decided on the request "r-late", according
@@ -33,7 +38,7 @@
 
 struct ReturningStoreFleet : GatewayProcesses {
   ReturningStoreFleet() : GatewayProcesses(kOthers + 1) {
-    REQUIRE(this->Start(Configuration(1, R"("shop-key","old-key")")));
+    REQUIRE(this->Start(Configuration(1, R"("shop-key")", R"("old-key")")));
     this->AddServer("s-leaves", Good());
     this->AddServer("s-stays", Good());
     for (int gateway = 0; gateway < kOthers; ++gateway) {
@@ -59,7 +64,7 @@
 
   // What operators and servers have written last, they write again.
   void WriteAgain() {
-    this->Put("keyed.op", "config", Configuration(2, R"("shop-key")"));
+    this->Put("keyed.op", "config", Configuration(2, R"("shop-key")", ""));
     this->ListServer("s-leaves", "draining");
     this->ListServer("s-stays", "ready");
   }
@@ -107,7 +112,7 @@
   }));
 
   // Later changes take effect in time, and the shards have owners.
-  fleet.Put("keyed.op", "config", Configuration(3, R"("new-key")"));
+  fleet.Put("keyed.op", "config", Configuration(3, R"("new-key")", ""));
   fleet.RunFor(seconds(2));
   for (int gateway = 0; gateway < fleet.count(); ++gateway) {
     CHECK(fleet.Send(gateway, "GET", "/safe/1", "new-key", "r-late").status ==
