tests: Cover the shared and spread reads of a new era

Instances that have the list of servers from digests do not read it in a new era, keep the servers that it lacks for the grace period, and learn that one is listed again (fails without the event for that). The reads of 444 instances come in at most 23 at a time.

--- a/tests/coordination/change_feed_reader_test.cc
+++ b/tests/coordination/change_feed_reader_test.cc
@@ -3,8 +3,10 @@
 #include "coordination/change_feed_reader.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
+#include "coordination/store_era.h"
 #include "support/await.h"
 #include "support/fake_feed.h"
 
@@ -167,6 +169,18 @@
   }
 }
 
+// Guards against a burst of reads by a large fleet in a new era.
+TEST_CASE("the reads of 444 instances in a new era are spread") {
+  std::map<Duration, int> reads;
+  for (std::size_t rank = 0; rank < 444; ++rank) {
+    ++reads[NewEraReadDelay(rank, milliseconds(400))];
+  }
+  for (const auto& [delay, count] : reads) {
+    CHECK(count <= 23);
+    CHECK(delay < milliseconds(400));
+  }
+}
+
 // Guards against a response that was in flight when the store returned.
 TEST_CASE("a response of an earlier era than the known one is discarded") {
   EraReading reading;
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -206,6 +206,41 @@
   CHECK(fleet.RemoveAndMeasure() < kRemovalBound);
 }
 
+// Guards against a store that every instance reads when it has just returned
+// with older data, and against the loss of servers that it lacks.
+TEST_CASE("an instance has the list of a new era from digests") {
+  ReaderAndMember fleet;
+  const std::uint64_t before = fleet.member.feed.sent_reads();
+  for (Instance* instance : {&fleet.reader, &fleet.member}) {
+    instance->feed.ReturnWith({Listed("s-stays")});
+  }
+  fleet.RunFor(milliseconds(1'500));
+  CHECK(fleet.member.discovery->position() == FeedPosition{1, 1});
+  CHECK(fleet.member.Lists("s-stays"));
+  CHECK(fleet.member.Lists("s-leaves"));
+  fleet.RunFor(kLapseGracePeriod);
+  CHECK(fleet.member.Lists("s-stays"));
+  CHECK_FALSE(fleet.member.Lists("s-leaves"));
+  CHECK_FALSE(fleet.reader.Lists("s-leaves"));
+  CHECK(fleet.member.feed.sent_reads() == before);
+}
+
+// Guards against a server that the others drop although it is alive: it writes
+// its listing again after the reader has told that it vanished.
+TEST_CASE("an instance learns that a server is listed again in a new era") {
+  ReaderAndMember fleet;
+  for (Instance* instance : {&fleet.reader, &fleet.member}) {
+    instance->feed.ReturnWith({Listed("s-leaves")});
+  }
+  fleet.RunFor(milliseconds(1'500));
+  for (Instance* instance : {&fleet.reader, &fleet.member}) {
+    instance->feed.Append(Listed("s-stays"));
+  }
+  fleet.RunFor(kLapseGracePeriod);
+  CHECK(fleet.reader.Lists("s-stays"));
+  CHECK(fleet.member.Lists("s-stays"));
+}
+
 // Guards against a slow store that gets slower because all instances read the
 // list, which none of them then gets in time.
 TEST_CASE("instances read the list rarely while the store is slow") {
