--- a/meta/libraries.cmake
+++ b/meta/libraries.cmake
@@ -21,6 +21,7 @@
   burn
   entry
   operations
+  rollout
   routing
   coordination
   roster
