gateway: Roll out versions of services gradually

Digests carry versions, the statuses of rollouts and outcomes by route and version. RolloutController runs on each instance, chooses the version of each request within the instance's part of the exposure, and drives the rollouts of services whose shard the instance owns. Takes effect only with the three bounds in the settings.

--- a/libraries/coordination/coordination_store.h
+++ b/libraries/coordination/coordination_store.h
@@ -11,6 +11,7 @@
 #include "coordination/change_feed.h"
 #include "coordination/member_record.h"
 #include "coordination/server_listing.h"
+#include "rollout/rollout_status.h"
 #include "routing/fleet_configuration.h"
 
 namespace parsleyquay {
@@ -23,7 +24,17 @@
   bool operator==(const DomainWithdrawal&) const = default;
 };
 
-using OperatorChange = std::variant<FleetConfiguration, DomainWithdrawal>;
+// Operators have requested a rollout for the service, or std::nullopt if they
+// have deleted the record of the request.
+struct RolloutRequestChange {
+  std::string service;
+  std::optional<RolloutRequest> request;
+
+  bool operator==(const RolloutRequestChange&) const = default;
+};
+
+using OperatorChange =
+    std::variant<FleetConfiguration, DomainWithdrawal, RolloutRequestChange>;
 
 // The newest listing of one backend server, or std::nullopt if it is no longer
 // listed.
@@ -74,6 +85,15 @@
   kUnknown,   // no response: the write may still be applied
 };
 
+// The statuses of all rollouts, and the position that a write which depends on
+// them has to state.
+struct RolloutStatusPage {
+  std::vector<RolloutStatus> statuses;
+  std::uint64_t position = 0;
+
+  bool operator==(const RolloutStatusPage&) const = default;
+};
+
 // The interface to the store that coordinates the fleet: the operators'
 // configuration, the list of backend servers, the instances' records and the
 // assignment of shards.
@@ -94,6 +114,18 @@
   std::function<void(const std::string& proposal,
                      std::function<void(std::optional<std::string>)>)>
       get_or_create_secret;
+
+  // Reads the statuses of all rollouts. Passes std::nullopt if the store is
+  // unavailable.
+  std::function<void(std::function<void(std::optional<RolloutStatusPage>)>)>
+      read_rollout_statuses;
+
+  // Writes the status of a rollout, on condition that no status has been
+  // written since the read that returned `position`.
+  std::function<void(const RolloutStatus&,
+                     std::uint64_t position,
+                     std::function<void(PublishOutcome)>)>
+      write_rollout_status;
 };
 
 }  // namespace parsleyquay
--- a/libraries/coordination/server_listing.h
+++ b/libraries/coordination/server_listing.h
@@ -13,6 +13,7 @@
   std::string service;
   std::string address;  // "ip:port"
   std::string failure_domain;
+  std::string version;  // of the service's program; "" if not stated
   long slots = 1;  // requests that it processes concurrently
   bool is_draining = false;
   // How much longer the server is cold, as of the time of writing.
--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -35,6 +35,7 @@
   kCold,
   kServerIncarnation,
   kSequence,
+  kServerVersion,
   kServerFields
 };
 
@@ -91,16 +92,19 @@
   row.append(Json::Int64(ToMilliseconds(listing.cold_remaining)));
   row.append(Json::UInt64(listing.incarnation));
   row.append(Json::UInt64(listing.sequence));
+  row.append(listing.version);
   return row;
 }
 
 ServerChange DecodeServerChange(const Json::Value& row) {
   ServerChange change{row[kServer].asString(), std::nullopt};
-  if (row.size() == kServerFields) {
+  // Instances of earlier versions state no version.
+  if (row.size() == kServerFields || row.size() == kServerVersion) {
     change.listing =
         ServerListing{.service = row[kService].asString(),
                       .address = row[kAddress].asString(),
                       .failure_domain = row[kServerDomain].asString(),
+                      .version = row.get(kServerVersion, "").asString(),
                       .slots = static_cast<long>(row[kSlots].asInt64()),
                       .is_draining = row[kDraining].asBool(),
                       .cold_remaining = milliseconds(row[kCold].asInt64()),
@@ -217,6 +221,12 @@
        digest.outcomes.failed_requests_by_service) {
     parameters["u"][service] = Json::Int64(count);
   }
+  if (!digest.outcomes.version_outcomes.empty()) {
+    parameters["w"] = EncodeVersionOutcomes(digest.outcomes.version_outcomes);
+  }
+  if (!digest.rollouts.empty()) {
+    parameters["r"] = EncodeRolloutNews(digest.rollouts);
+  }
   return parameters;
 }
 
@@ -256,6 +266,8 @@
     digest.outcomes.failed_requests_by_service[service] =
         static_cast<long>(parameters["u"][service].asInt64());
   }
+  digest.outcomes.version_outcomes = DecodeVersionOutcomes(parameters["w"]);
+  digest.rollouts = DecodeRolloutNews(parameters["r"]);
   return digest;
 }
 
@@ -299,6 +311,9 @@
   parameters["s"] = report.server;
   parameters["o"] = static_cast<int>(report.outcome);
   parameters["l"] = Json::Int64(report.load);
+  if (report.observation) {
+    parameters["v"] = EncodeObservation(*report.observation);
+  }
   return parameters;
 }
 
@@ -309,7 +324,8 @@
   }
   return OutcomeReport{parameters["s"].asString(),
                        static_cast<ServerOutcome>(outcome),
-                       static_cast<long>(parameters["l"].asInt64())};
+                       static_cast<long>(parameters["l"].asInt64()),
+                       DecodeObservation(parameters["v"])};
 }
 
 }  // namespace parsleyquay
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -12,6 +12,7 @@
 #include "coordination/coordination_store.h"
 #include "dissemination/member_table.h"
 #include "dissemination/outcome_summary.h"
+#include "dissemination/rollout_news.h"
 
 namespace parsleyquay {
 
@@ -56,6 +57,7 @@
   std::vector<DigestMember> members;  // only those whose status has changed
   std::map<std::string, DomainView> domains;  // by failure domain
   OutcomeSummary outcomes;
+  std::vector<RolloutNews> rollouts;  // the newest known status of each
 
   bool operator==(const Digest&) const = default;
 };
--- a/libraries/dissemination/outcome_summary.cc
+++ b/libraries/dissemination/outcome_summary.cc
@@ -13,12 +13,17 @@
     server.load = report.load;
   }
   server.newest_at = now;
+  if (report.observation) {
+    AddObservation(summary.version_outcomes, report.server,
+                   *report.observation);
+  }
 }
 
 void MergeSummary(OutcomeSummary& summary, const OutcomeSummary& other) {
   for (const auto& [service, count] : other.failed_requests_by_service) {
     summary.failed_requests_by_service[service] += count;
   }
+  MergeOutcomes(summary.version_outcomes, other.version_outcomes);
   for (const auto& [name, added] : other.servers) {
     ServerSummary& server = summary.servers[name];
     for (const auto& [outcome, count] : added.counts) {
--- a/libraries/dissemination/outcome_summary.h
+++ b/libraries/dissemination/outcome_summary.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
+#include "dissemination/rollout_news.h"
 #include "server_health/server_health_estimate.h"
 
 namespace parsleyquay {
@@ -16,6 +18,8 @@
   ServerOutcome outcome = ServerOutcome::kServed;
   // Requests running or queued at the server, as it reported; -1: not reported.
   long load = -1;
+  // Set if the service of the server has a rollout.
+  std::optional<VersionObservation> observation;
 
   bool operator==(const OutcomeReport&) const = default;
 };
@@ -34,9 +38,11 @@
   std::map<std::string, ServerSummary> servers;  // by name
   // Number of requests that ended without success, for any reason.
   std::map<std::string, long> failed_requests_by_service;
+  VersionOutcomes version_outcomes;  // of services with a rollout
 
   bool is_empty() const {
-    return this->servers.empty() && this->failed_requests_by_service.empty();
+    return this->servers.empty() && this->failed_requests_by_service.empty() &&
+           this->version_outcomes.empty();
   }
   bool operator==(const OutcomeSummary&) const = default;
 };
--- a/libraries/gateway/configuration_watcher.cc
+++ b/libraries/gateway/configuration_watcher.cc
@@ -37,11 +37,13 @@
 ConfigurationWatcher::ConfigurationWatcher(GatewayContext& context,
                                            OnConfiguration on_configuration,
                                            OnWithdrawals on_withdrawals,
-                                           OnNews on_news)
+                                           OnNews on_news,
+                                           OnRolloutRequest on_rollout_request)
     : context(context),
       on_configuration(std::move(on_configuration)),
       on_withdrawals(std::move(on_withdrawals)),
       on_news(std::move(on_news)),
+      on_rollout_request(std::move(on_rollout_request)),
       feed_reader(
           context.loop,
           "operators",
@@ -114,6 +116,10 @@
       this->ApplyConfiguration(std::move(*configuration));
       continue;
     }
+    if (const auto* request = std::get_if<RolloutRequestChange>(&change)) {
+      this->on_rollout_request(*request);
+      continue;
+    }
     this->ApplyWithdrawal(std::get<DomainWithdrawal>(change));
   }
   this->UpdateLag();
--- a/libraries/gateway/configuration_watcher.h
+++ b/libraries/gateway/configuration_watcher.h
@@ -24,12 +24,14 @@
   // Called when the newest known position has grown, so that a digest can
   // announce it without delay.
   using OnNews = std::function<void()>;
+  using OnRolloutRequest = std::function<void(const RolloutRequestChange&)>;
 
   ConfigurationWatcher(
       GatewayContext& context,
       OnConfiguration on_configuration,
       OnWithdrawals on_withdrawals,
-      OnNews on_news = [] {});
+      OnNews on_news = [] {},
+      OnRolloutRequest on_rollout_request = [](const RolloutRequestChange&) {});
 
   void Start() { this->feed_reader.Start(); }
   void Stop() { this->feed_reader.Stop(); }
@@ -68,6 +70,7 @@
   OnConfiguration on_configuration;
   OnWithdrawals on_withdrawals;
   OnNews on_news;
+  OnRolloutRequest on_rollout_request;
   std::set<std::string> withdrawn_domains;
   ChangeFeedReader<OperatorChange> feed_reader;
   Timer read_timer;
--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -118,6 +118,7 @@
   if (IsUrgent(report.outcome) || this->current_role.is_without_aggregator) {
     OutcomeSummary observed;
     AddOutcome(observed, report, this->context.Now());
+    observed.version_outcomes.clear();  // counted when the digest returns them
     this->handlers.on_outcomes(observed);
   }
 }
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+// The path at the metrics address that tells the state of all rollouts.
+constexpr char kRolloutsTarget[] = "/rollouts";
+
 constexpr int kOkStatus = 200;
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
@@ -40,6 +43,12 @@
 constexpr Duration kMayBreakOffPeriod = milliseconds(2'900);
 constexpr double kMayBreakOffShare = 0.5;
 
+std::vector<std::string> PeerMessageMethods() {
+  std::vector<std::string> methods = WorkspaceRateLimiter::MessageMethods();
+  methods.push_back(RolloutController::MessageMethod());
+  return methods;
+}
+
 Duration ShareOf(Duration duration, double share) {
   return std::chrono::duration_cast<Duration>(duration * share);
 }
@@ -57,7 +66,7 @@
               std::move(coordination),
               std::move(protocol)),
       dissemination(this->context,
-                    WorkspaceRateLimiter::MessageMethods(),
+                    PeerMessageMethods(),
                     this->MakeDisseminationHandlers()),
       server_discovery(
           this->context,
@@ -71,9 +80,18 @@
                  this->dissemination.RequestServerList(peer);
                },
            .on_read = [this] { this->dissemination.ForwardServerList(); }}),
+      rollout_controller(
+          this->context,
+          this->server_discovery,
+          {.owns_shard_of =
+               [this](const std::string& service) {
+                 return this->rate_limiter.OwnsShardOf(service);
+               },
+           .on_news = [this] { this->dissemination.SendDigestSoon(); }}),
       load_balancer(
           this->context,
           this->server_discovery,
+          this->rollout_controller,
           [this](const OutcomeReport& report) {
             this->dissemination.ReportOutcome(report);
           },
@@ -88,7 +106,10 @@
           [this](const std::set<std::string>& domains) {
             this->server_discovery.SetWithdrawnDomains(domains);
           },
-          [this] { this->dissemination.SendDigestSoon(); }),
+          [this] { this->dissemination.SendDigestSoon(); },
+          [this](const RolloutRequestChange& change) {
+            this->rollout_controller.OnRequestChange(change);
+          }),
       flush_timer(loop, [] { FlushEventLog(); }),
       loop_stall_detector(
           loop,
@@ -148,6 +169,7 @@
   this->server_discovery.Start();
   this->dissemination.Start();
   this->rate_limiter.Start();
+  this->rollout_controller.Start();
   this->flush_timer.StartRepeating(kLogFlushInterval);
   this->loop_stall_detector.Start();
   return {};
@@ -157,6 +179,7 @@
   return {.on_outcomes =
               [this](const OutcomeSummary& outcomes) {
                 this->load_balancer.ApplyOutcomes(outcomes);
+                this->rollout_controller.OnOutcomes(outcomes);
               },
           .on_digest = [this](const Digest& digest) { this->OnDigest(digest); },
           .fill_digest =
@@ -166,6 +189,7 @@
                 digest.operator_position =
                     this->configuration_watcher.newest_known_position();
                 this->server_discovery.AddChangesToDigest(digest);
+                digest.rollouts = this->rollout_controller.News();
               },
           .add_full_server_list =
               [this](Digest& digest) {
@@ -176,6 +200,10 @@
           .owned_shards = [this] { return this->rate_limiter.OwnedShards(); },
           .on_message =
               [this](const std::string& method, const Json::Value& parameters) {
+                if (method == RolloutController::MessageMethod()) {
+                  this->rollout_controller.OnMessage(parameters);
+                  return;
+                }
                 this->rate_limiter.OnMessage(method, parameters);
               }};
 }
@@ -232,6 +260,11 @@
 }
 
 void Gateway::OnMetricsRequest(ServerExchange& exchange) {
+  if (exchange.target() == kRolloutsTarget) {
+    exchange.Respond(kOkStatus, {{"Content-Type", "application/json"}},
+                     this->rollout_controller.Describe().toStyledString());
+    return;
+  }
   GatewayMetrics metrics = this->context.metrics;
   IncrementCounter(metrics, "active_requests",
                    this->context.active_requests.size());
@@ -248,6 +281,7 @@
                      static_cast<std::uint64_t>(ToMilliseconds(*age)));
   }
   IncrementCounter(metrics, "log_lines_dropped", DroppedLogLines());
+  this->rollout_controller.AddMetrics(metrics);
   if (this->context.peer_transport) {
     const PeerTrafficCounters& traffic =
         this->context.peer_transport->traffic();
@@ -265,6 +299,7 @@
 void Gateway::OnDigest(const Digest& digest) {
   this->configuration_watcher.OnPeerFeedPosition(digest.operator_position);
   this->server_discovery.ApplyDigest(digest);
+  this->rollout_controller.OnNews(digest.rollouts);
   this->rate_limiter.GiveUpSupersededShards();
 }
 
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/dissemination_agent.h"
 #include "gateway/gateway_context.h"
 #include "gateway/load_balancer.h"
+#include "gateway/rollout_controller.h"
 #include "gateway/server_discovery.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "http/http_server.h"
@@ -62,6 +63,7 @@
   GatewayContext context;
   DisseminationAgent dissemination;
   ServerDiscovery server_discovery;
+  RolloutController rollout_controller;
   LoadBalancer load_balancer;
   WorkspaceRateLimiter rate_limiter;
   ConfigurationWatcher configuration_watcher;
--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr NumberRange kRatioRange = {0, 100};
+constexpr NumberRange kShareRange = {0, 1};
 constexpr NumberRange kCountRange = {0, 1'000'000};
 constexpr NumberRange kCoreRange = {0.001, 1'000};
 constexpr NumberRange kLinkRange = {0.01, 1'000'000};  // Mbit/s
@@ -103,6 +104,17 @@
   ReadOptionalNumber(reader, "cold_overshoot", kRatioRange,
                      bounds.cold_overshoot);
   ReadOptionalNumber(reader, "cold_slack", kCountRange, bounds.cold_slack);
+  if (reader.IsStated("rollout_exposure_share")) {
+    bounds.rollout_exposure_share =
+        reader.Number("rollout_exposure_share", kShareRange);
+  }
+  if (reader.IsStated("rollout_exposure_slack")) {
+    bounds.rollout_exposure_slack =
+        reader.Number("rollout_exposure_slack", kCountRange);
+  }
+  if (reader.IsStated("rollback_time")) {
+    bounds.rollback_time = ReadDuration(reader, "rollback_time");
+  }
 }
 
 struct SectionParser {
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -29,6 +29,12 @@
   // configuration states no such rate.
   double cold_overshoot = 1.5;
   double cold_slack = 5;  // further requests to it within any second
+  // Rollouts of services take place only if all three are stated. A bad version
+  // gets at most this share of the service's requests, and some further
+  // requests, and none later than `rollback_time` after its 50th bad response.
+  std::optional<double> rollout_exposure_share;
+  std::optional<double> rollout_exposure_slack;
+  std::optional<Duration> rollback_time;
 
   bool operator==(const FleetBounds&) const = default;
 };
--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -45,10 +45,12 @@
 
 LoadBalancer::LoadBalancer(GatewayContext& context,
                            ServerDiscovery& discovery,
+                           RolloutController& rollouts,
                            OnReport on_report,
                            OnFailedRequest on_failed_request)
     : context(context),
       discovery(discovery),
+      rollouts(rollouts),
       on_report(std::move(on_report)),
       on_failed_request(std::move(on_failed_request)) {}
 
@@ -66,7 +68,8 @@
       .is_bulk = criteria.is_bulk,
       .expected_service_time = this->ExpectedServiceTime(criteria.service),
       .time_left = criteria.time_left};
-  const auto chosen = this->Choose(candidates, request, criteria.service);
+  const auto chosen =
+      this->ChooseByVersion(names, candidates, request, criteria);
   if (!chosen) {
     return std::nullopt;
   }
@@ -76,6 +79,7 @@
   if (now < entry.cold_until) {
     RecordColdServerRequest(this->cold_start_limiter, server, now);
   }
+  this->rollouts.CountAttempt(criteria.service, entry.listing.version);
   ServerState& state = this->StateOf(server);
   ++state.in_flight;
   ++state.sent_since_report;
@@ -85,6 +89,9 @@
       .service = criteria.service,
       .address = entry.listing.address,
       .incarnation = entry.listing.incarnation,
+      .version = entry.listing.version,
+      .route = criteria.route,
+      .is_cold = now < entry.cold_until,
       .acquired_at = now,
       .failure_probability = candidates[*chosen].failure_probability,
       .load = candidates[*chosen].load};
@@ -96,7 +103,54 @@
   return found != roster.servers.end() &&
          found->second.listing.address == reservation.address &&
          found->second.listing.incarnation == reservation.incarnation &&
-         MayReceiveRequests(roster, found->second);
+         MayReceiveRequests(roster, found->second) &&
+         this->rollouts.MayReceive(reservation.service, reservation.version);
+}
+
+// Chooses among the servers of the versions that a rollout of the service
+// permits.
+std::optional<std::size_t> LoadBalancer::ChooseByVersion(
+    const std::vector<std::string>& names,
+    const std::vector<PlacementCandidate>& candidates,
+    const PlacementRequest& request,
+    const ServerSelectionCriteria& criteria) {
+  for (const VersionFilter& filter : this->rollouts.FiltersFor(
+           criteria.service, !criteria.tried_servers.empty())) {
+    if (filter == VersionFilter{}) {
+      return this->Choose(candidates, request, criteria.service);
+    }
+    std::vector<PlacementCandidate> permitted = candidates;
+    for (std::size_t i = 0; i < permitted.size(); ++i) {
+      const RosterEntry& entry = this->discovery.roster().servers.at(names[i]);
+      permitted[i].is_permitted =
+          permitted[i].is_permitted &&
+          filter.Permits(names[i], entry.listing.version,
+                         permitted[i].failure_probability);
+    }
+    if (const auto chosen =
+            this->Choose(permitted, request, criteria.service)) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
+}
+
+// Returns what an attempt that ends now, or is overdue, says about the version
+// of its server. A request that was shed says nothing.
+std::optional<VersionObservation> LoadBalancer::Observe(
+    const ServerReservation& reservation,
+    std::optional<ServerOutcome> outcome) const {
+  if (!outcome || *outcome == ServerOutcome::kShed) {
+    return std::nullopt;
+  }
+  const bool is_overdue = *outcome == ServerOutcome::kOverdue;
+  const bool is_failure = !is_overdue && *outcome != ServerOutcome::kServed;
+  // A cold server is slower, which says nothing about its version.
+  return this->rollouts.Observe(
+      reservation.service, reservation.version, reservation.route, is_failure,
+      reservation.is_cold || is_failure
+          ? std::nullopt
+          : std::optional(this->context.Now() - reservation.acquired_at));
 }
 
 std::optional<std::size_t> LoadBalancer::Choose(
@@ -146,12 +200,14 @@
     this->UpdateServiceTime(reservation);
   }
   this->UpdatePath(state, *outcome);
-  this->on_report({reservation.server, *outcome, total});
+  this->on_report({reservation.server, *outcome, total,
+                   this->Observe(reservation, outcome)});
 }
 
 void LoadBalancer::ReportOutcome(const ServerReservation& reservation,
                                  ServerOutcome outcome) {
-  this->on_report({reservation.server, outcome, -1});
+  this->on_report(
+      {reservation.server, outcome, -1, this->Observe(reservation, outcome)});
 }
 
 void LoadBalancer::MarkMisdirected(const ServerReservation& reservation) {
--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -12,6 +12,7 @@
 #include "base/rate_meter.h"
 #include "dissemination/outcome_summary.h"
 #include "gateway/gateway_context.h"
+#include "gateway/rollout_controller.h"
 #include "gateway/server_discovery.h"
 #include "placement/cold_start_limiter.h"
 #include "placement/exploration.h"
@@ -27,6 +28,9 @@
   std::string service;
   std::string address;
   std::uint64_t incarnation = 0;  // of the server
+  std::string version;            // of the server
+  std::string route;              // name of the request's route
+  bool is_cold = false;           // the server, when it was chosen
   TimePoint acquired_at;
   // The estimates on which the choice was based.
   double failure_probability = 0;
@@ -38,6 +42,7 @@
 // The properties of a request that the choice of a server depends on.
 struct ServerSelectionCriteria {
   std::string service;
+  std::string route;          // name of the request's route
   bool is_retryable = false;  // may be sent to another server after a failure
   bool is_bulk = false;       // has a large request or response body
   Duration time_left = Duration(0);     // until its deadline
@@ -55,6 +60,7 @@
 
   LoadBalancer(GatewayContext& context,
                ServerDiscovery& discovery,
+               RolloutController& rollouts,
                OnReport on_report,
                OnFailedRequest on_failed_request);
 
@@ -140,6 +146,14 @@
   void UpdatePath(ServerState& state, ServerOutcome outcome);
   ColdStartLimit ColdStartLimitOf(const std::string& service) const;
   void UpdateServiceTime(const ServerReservation& reservation);
+  std::optional<std::size_t> ChooseByVersion(
+      const std::vector<std::string>& names,
+      const std::vector<PlacementCandidate>& candidates,
+      const PlacementRequest& request,
+      const ServerSelectionCriteria& criteria);
+  std::optional<VersionObservation> Observe(
+      const ServerReservation& reservation,
+      std::optional<ServerOutcome> outcome) const;
   std::optional<std::size_t> Choose(
       const std::vector<PlacementCandidate>& candidates,
       const PlacementRequest& request,
@@ -148,6 +162,7 @@
 
   GatewayContext& context;
   ServerDiscovery& discovery;
+  RolloutController& rollouts;
   OnReport on_report;
   OnFailedRequest on_failed_request;
   ServerFailureModel model;
--- a/libraries/gateway/proxied_request.cc
+++ b/libraries/gateway/proxied_request.cc
@@ -248,6 +248,7 @@
 
 ServerSelectionCriteria ProxiedRequest::MakeSelectionCriteria() const {
   return {.service = this->service,
+          .route = this->route().name,
           .is_retryable = this->route().is_idempotent &&
                           this->MayTryAnotherServer(AttemptResult::kServerError,
                                                     this->tried.size() + 1),
--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -177,6 +177,10 @@
                                                       : std::vector<long>();
 }
 
+bool WorkspaceRateLimiter::OwnsShardOf(const std::string& name) const {
+  return this->IsOwned(this->ShardOf(name));
+}
+
 void WorkspaceRateLimiter::GiveUpSupersededShards() {
   const bool owned_any = !this->OwnedShards().empty();
   const auto given_up =
--- a/libraries/gateway/workspace_rate_limiter.h
+++ b/libraries/gateway/workspace_rate_limiter.h
@@ -81,6 +81,10 @@
   // The numbers of the shards that this instance owns now.
   std::vector<long> OwnedShards() const;
 
+  // Returns whether this instance owns the shard to which the name of a
+  // workspace or service hashes.
+  bool OwnsShardOf(const std::string& name) const;
+
   // Gives up the shards that another instance has claimed since the store last
   // confirmed them to this one. Called when members' claims may have changed.
   void GiveUpSupersededShards();
--- a/tests/gateway/settings_template_test.cc
+++ b/tests/gateway/settings_template_test.cc
@@ -129,6 +129,9 @@
                                                           .slack = 20});
   CHECK(bounds.cold_overshoot == 1.4);
   CHECK(bounds.cold_slack == 8);
+  CHECK(bounds.rollout_exposure_share == 0.1);
+  CHECK(bounds.rollout_exposure_slack == 50);
+  CHECK(bounds.rollback_time == seconds(5));
 }
 
 // Guards against a misspelt bound that silently keeps its default.
