cli: Show the rollouts of services

Operators had no view of a rollout's share and verdict. Instances tell them at /rollouts of the metrics address; `parsleyquay rollouts` prints them.

Measured: builds; not yet run against a process.

--- a/utilities/cli/commands.h
+++ b/utilities/cli/commands.h
@@ -43,6 +43,8 @@
 int RunStatus(CommandContext& context, const Arguments& arguments);
 int RunReport(CommandContext& context, const Arguments& arguments);
 int RunExplain(CommandContext& context, const Arguments& arguments);
+// Shows the rollouts as the instances know them, by their metrics addresses.
+int RunRollouts(CommandContext& context, const Arguments& arguments);
 
 // Commands of callers.
 int RunResolve(CommandContext& context, const Arguments& arguments);
--- a/utilities/cli/parsleyquay.cc
+++ b/utilities/cli/parsleyquay.cc
@@ -30,7 +30,7 @@
   int (*run)(CommandContext&, const Arguments&);
 };
 
-constexpr std::array<Command, 12> kCommands = {{
+constexpr std::array<Command, 13> kCommands = {{
     {"validate", &RunValidate},
     {"diff", &RunDiff},
     {"publish", &RunPublish},
@@ -41,6 +41,7 @@
     {"status", &RunStatus},
     {"report", &RunReport},
     {"explain", &RunExplain},
+    {"rollouts", &RunRollouts},
     {"resolve", &RunResolve},
     {"request", &RunRequest},
 }};
@@ -59,6 +60,9 @@
     "  parsleyquay status                 state of each instance\n"
     "  parsleyquay report [--html FILE]   error budget burn of the fleet\n"
     "  parsleyquay explain ID LOG...      explain a request from log files\n"
+    "  parsleyquay rollouts [SERVICE]     share, phase and reason of "
+    "rollouts;\n"
+    "                                     --entries are metrics addresses\n"
     "  parsleyquay resolve --key KEY      addresses for a caller to use\n"
     "  parsleyquay request METHOD PATH --key KEY [--body TEXT]\n"
     "                                     send one request through the fleet\n"
