--- a/tests/dissemination/dissemination_test.cc
+++ b/tests/dissemination/dissemination_test.cc
@@ -164,6 +164,7 @@
       {"s1", ServerListing{.service = "lookup",
                            .address = "127.0.0.1:9",
                            .failure_domain = "x",
+                           .version = "v2",
                            .slots = 3,
                            .is_draining = true,
                            .cold_remaining = milliseconds(1'500),
@@ -175,6 +176,25 @@
   AddOutcome(digest.outcomes, {"s1", ServerOutcome::kFailed, 2}, kStart);
   AddOutcome(digest.outcomes, {"s1", ServerOutcome::kServed, -1}, kStart);
   digest.outcomes.failed_requests_by_service["lookup"] = 2;
+  AddOutcome(digest.outcomes,
+             {"s1", ServerOutcome::kServed, 2,
+              VersionObservation{"lookup", "r", true, false, 13}},
+             kStart);
+  digest.rollouts = {{{.service = "lookup",
+                       .to_version = "v2",
+                       .number = 3,
+                       .step = 4,
+                       .phase = RolloutPhase::kSwitching,
+                       .share = 0.25,
+                       .duration = seconds(12),
+                       .elapsed = milliseconds(8'250),
+                       .instances = 36,
+                       .requests = 600,
+                       .exposed = 55,
+                       .old_versions = {"", "v1"},
+                       .driver = "a",
+                       .reason = "as good"},
+                      milliseconds(120)}};
   CHECK(DecodeDigest(EncodeDigest(digest, kStart), kStart) == digest);
 }
 
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -5,6 +5,7 @@
 #include "platform/json_fields.h"
 #include "platform/platform_wire_protocol.h"
 #include "platform/record_frames.h"
+#include "platform/rollout_decoder.h"
 #include "platform/server_decoder.h"
 
 namespace parsleyquay::platform {
@@ -93,6 +94,63 @@
         OperatorChange(DomainWithdrawal{"z1", false}));
 }
 
+// Guards against a rollout that begins on a record which operators did not
+// mean.
+TEST_CASE("a rollout request is decoded and a malformed one is rejected") {
+  const std::string good =
+      R"({"service":"s1","to_version":"v2","duration":"12s"})";
+  CHECK(DecodeOperatorRecord({"rollout/s1", good}).value() ==
+        OperatorChange(RolloutRequestChange{
+            "s1", RolloutRequest{"s1", "v2", seconds(12)}}));
+  CHECK(DecodeOperatorRecord({"rollout/s1", std::nullopt}).value() ==
+        OperatorChange(RolloutRequestChange{"s1", std::nullopt}));
+  const auto is_request = [](const std::string& key, const std::string& text) {
+    return IsOk<OperatorChange>([&] {
+      return DecodeOperatorRecord({key, text});
+    });
+  };
+  CHECK_FALSE(is_request("rollout/s2", good));
+  CHECK_FALSE(is_request("rollout/", good));
+  CHECK_FALSE(is_request("rollout/s1", "[]"));
+  CHECK_FALSE(is_request("rollout/s1", R"({"service":"s1"})"));
+  CHECK_FALSE(is_request(
+      "rollout/s1", R"({"service":"s1","to_version":"v2","duration":"0s"})"));
+  CHECK_FALSE(is_request(
+      "rollout/s1", R"({"service":"s1","to_version":2,"duration":"12s"})"));
+}
+
+TEST_CASE("a rollout status is encoded with the platform's state") {
+  const RolloutStatus status{.service = "s1",
+                             .to_version = "v2",
+                             .number = 2,
+                             .step = 7,
+                             .phase = RolloutPhase::kSwitching,
+                             .share = 0.5,
+                             .duration = seconds(12),
+                             .elapsed = milliseconds(8'250),
+                             .instances = 36,
+                             .requests = 600,
+                             .exposed = 55,
+                             .old_versions = {"", "v1"},
+                             .driver = "g-1",
+                             .reason = "as good"};
+  constexpr long kNow = 1'789'905'170'069;
+  const std::string text = EncodeRolloutStatus(status, kNow);
+  CHECK(GetStringField(*ParseJsonObject(text), "state") == "running");
+  CHECK(DecodeRolloutStatus("s1", text, kNow).value() == status);
+  // A wall clock that was set back or forward.
+  CHECK(DecodeRolloutStatus("s1", text, 0).value() == status);
+  CHECK(DecodeRolloutStatus("s1", text, 2 * kNow).value().elapsed ==
+        milliseconds(20'250));
+  RolloutStatus done = status;
+  done.phase = RolloutPhase::kRolledBack;
+  CHECK(GetStringField(*ParseJsonObject(EncodeRolloutStatus(done, kNow)),
+                       "state") == "rolled_back");
+  CHECK_FALSE(IsOk<RolloutStatus>([] {
+    return DecodeRolloutStatus("s1", R"({"state":"running"})", kNow);
+  }));
+}
+
 TEST_CASE("a server record is decoded and a malformed one is rejected") {
   const std::string good =
       R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1",
@@ -100,6 +158,7 @@
           "born":1789905170069})";
   const ServerListing listing = DecodeServerListing(good).value();
   CHECK(listing.failure_domain == "z");
+  CHECK(listing.version == "v1");
   CHECK(listing.cold_remaining == milliseconds(250));
   CHECK(listing.incarnation == 1'789'905'170'069);
   const auto changed = [&](const std::string& from, const std::string& to) {
