rollout: Weigh the outcomes of the last second too

Adds a comparison over the last second, with a higher threshold because two servers may have a spell then.

--- a/libraries/rollout/rollout_driver.cc
+++ b/libraries/rollout/rollout_driver.cc
@@ -14,6 +14,9 @@
 constexpr double kRollbackWeight = 8;
 constexpr double kDecisionWeight = 3;
 constexpr double kRecentDecisionWeight = 5.5;
+// For the last second, in which two servers may have a spell.
+constexpr double kNewestRollbackWeight = 10.5;
+constexpr double kNewestDecisionWeight = 7;
 
 // With less evidence a version is not proven: outcomes of the new version for
 // the decision, and at its latest time.
@@ -62,10 +65,13 @@
 
 bool IsWorse(const VersionComparison& comparison, bool is_decision) {
   if (!is_decision) {
-    return comparison.worst() >= kRollbackWeight;
+    return std::max(comparison.whole_time, comparison.recent) >=
+               kRollbackWeight ||
+           comparison.newest >= kNewestRollbackWeight;
   }
   return comparison.whole_time >= kDecisionWeight ||
-         comparison.recent >= kRecentDecisionWeight;
+         comparison.recent >= kRecentDecisionWeight ||
+         comparison.newest >= kNewestDecisionWeight;
 }
 
 TrialTraffic TrafficOf(const RolloutStatus& status,
--- a/libraries/rollout/version_evidence.cc
+++ b/libraries/rollout/version_evidence.cc
@@ -42,6 +42,8 @@
 
 // The last seconds, which show a version that turns bad late.
 constexpr Duration kRecent = seconds(3);
+// While the requests move, few outcomes of the last seconds are new.
+constexpr Duration kNewest = seconds(1);
 
 // The responses of one window.
 struct Sample {
@@ -201,7 +203,7 @@
 }
 
 double VersionComparison::worst() const {
-  return std::max(this->whole_time, this->recent);
+  return std::max({this->whole_time, this->recent, this->newest});
 }
 
 int LatencyBucketOf(Duration latency) {
@@ -238,11 +240,18 @@
                                   Duration elapsed) {
   const RouteEvidence& all = evidence.all_routes;
   const WeightLimits limits = LimitsOf(all);
-  const long recent_window =
-      std::max(Duration(0), elapsed - kRecent) / kEvidenceWindow;
-  VersionComparison result{.whole_time = WorstLogRatio(all, 0, limits),
-                           .recent = WorstLogRatio(all, recent_window, limits),
-                           .compared = all.old_version.total()};
+  const auto compare = [&](const RouteEvidence& route) {
+    const auto since = [&](Duration age) {
+      return WorstLogRatio(
+          route, std::max(Duration(0), elapsed - age) / kEvidenceWindow,
+          limits);
+    };
+    return VersionComparison{.whole_time = since(elapsed),
+                             .recent = since(kRecent),
+                             .newest = since(kNewest)};
+  };
+  VersionComparison result = compare(all);
+  result.compared = all.old_version.total();
   const int slow_limit = SlowLimit(all.old_version);
   for (const auto& [name, server] : all.new_servers) {
     for (const auto& [window, counts] : server.windows) {
@@ -251,13 +260,13 @@
     }
   }
   for (const auto& [name, route] : evidence.routes) {
-    const double whole_time = WorstLogRatio(route, 0, limits);
-    const double recent = WorstLogRatio(route, recent_window, limits);
-    if (std::max(whole_time, recent) > result.worst()) {
+    const VersionComparison one = compare(route);
+    if (one.worst() > result.worst()) {
       result.worst_route = name;
     }
-    result.whole_time = std::max(result.whole_time, whole_time);
-    result.recent = std::max(result.recent, recent);
+    result.whole_time = std::max(result.whole_time, one.whole_time);
+    result.recent = std::max(result.recent, one.recent);
+    result.newest = std::max(result.newest, one.newest);
   }
   return result;
 }
--- a/libraries/rollout/version_evidence.h
+++ b/libraries/rollout/version_evidence.h
@@ -66,9 +66,10 @@
 struct VersionComparison {
   // The logarithm of how much more probable the outcomes are if the new version
   // is worse than if it is as good: the largest one among the routes, over the
-  // whole time and over the last seconds.
+  // whole time, over the last three seconds and over the last one.
   double whole_time = 0;
   double recent = 0;
+  double newest = 0;
   std::string worst_route;  // "" if all routes together are worst
   long exposed = 0;         // outcomes of the new version
   long bad = 0;             // failed or several times slower
