--- a/libraries/coordination/coordination_store.h
+++ b/libraries/coordination/coordination_store.h
@@ -13,6 +13,7 @@
 #include "coordination/member_record.h"
 #include "coordination/server_listing.h"
 #include "coordination/store_era.h"
+#include "rollout/rollout_status.h"
 #include "routing/fleet_configuration.h"
 
 namespace parsleyquay {
@@ -25,7 +26,17 @@
   bool operator==(const DomainWithdrawal&) const = default;
 };
 
-using OperatorChange = std::variant<FleetConfiguration, DomainWithdrawal>;
+// Operators have requested a rollout for the service, or std::nullopt if they
+// have deleted the record of the request.
+struct RolloutRequestChange {
+  std::string service;
+  std::optional<RolloutRequest> request;
+
+  bool operator==(const RolloutRequestChange&) const = default;
+};
+
+using OperatorChange =
+    std::variant<FleetConfiguration, DomainWithdrawal, RolloutRequestChange>;
 
 // The newest listing of one backend server, or std::nullopt if it is no longer
 // listed.
@@ -94,6 +105,15 @@
   bool operator==(const FleetRecords&) const = default;
 };
 
+// The statuses of all rollouts, and the position that a write which depends on
+// them has to state.
+struct RolloutStatusPage {
+  std::vector<RolloutStatus> statuses;
+  FeedPosition position;
+
+  bool operator==(const RolloutStatusPage&) const = default;
+};
+
 // The interface to the store that coordinates the fleet: the operators'
 // configuration, the list of backend servers, the instances' records and the
 // assignment of shards.
@@ -119,6 +139,18 @@
                      std::function<void(PublishOutcome)>)>
       publish_secret;
 
+  // Reads the statuses of all rollouts. Passes std::nullopt if the store is
+  // unavailable.
+  std::function<void(std::function<void(std::optional<RolloutStatusPage>)>)>
+      read_rollout_statuses;
+
+  // Writes the status of a rollout, on condition that no status has been
+  // written since the read that returned `position`.
+  std::function<void(const RolloutStatus&,
+                     FeedPosition position,
+                     std::function<void(PublishOutcome)>)>
+      write_rollout_status;
+
   // The newest era that the store or a peer has stated.
   std::shared_ptr<StoreEra> era = std::make_shared<StoreEra>();
 };
--- a/libraries/coordination/server_listing.h
+++ b/libraries/coordination/server_listing.h
@@ -13,7 +13,8 @@
   std::string service;
   std::string address;  // "ip:port"
   std::string failure_domain;
-  long slots = 1;  // requests that it processes concurrently
+  std::string version;  // of the service's program; "" if not stated
+  long slots = 1;       // requests that it processes concurrently
   bool is_draining = false;
   // How much longer the server is cold, as of the time of writing.
   Duration cold_remaining = Duration(0);
--- a/meta/libraries.cmake
+++ b/meta/libraries.cmake
@@ -22,6 +22,7 @@
   burn
   entry
   operations
+  rollout
   routing
   coordination
   roster
