--- a/libraries/http/header_list.cc
+++ b/libraries/http/header_list.cc
@@ -91,6 +91,15 @@
   return kept;
 }
 
+void RemoveHeaders(HeaderList& headers,
+                   std::initializer_list<std::string_view> names) {
+  std::erase_if(headers, [&](const Header& header) {
+    return std::ranges::any_of(names, [&](std::string_view name) {
+      return IsSameHeaderName(header.name, name);
+    });
+  });
+}
+
 std::optional<std::uint64_t> ParseUnsignedHeader(const HeaderList& headers,
                                                  std::string_view name) {
   const std::string* text = FindHeader(headers, name);
--- a/libraries/http/header_list.h
+++ b/libraries/http/header_list.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
 // hop-by-hop headers and those that the Connection header lists.
 HeaderList EndToEndHeaders(const HeaderList& headers);
 
+// Removes all headers with any of the names.
+void RemoveHeaders(HeaderList& headers,
+                   std::initializer_list<std::string_view> names);
+
 // Parses the value of a header as an unsigned decimal number. Returns
 // std::nullopt if the header is absent, or if its value has any other character
 // or does not fit in 64 bits.
