--- a/libraries/routing/fleet_configuration.h
+++ b/libraries/routing/fleet_configuration.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,7 +51,8 @@
 // applies to all instances together.
 struct WorkspaceConfiguration {
   std::vector<std::string> key_digests;  // see SecretDigest()
-  int priority = 0;                // takes precedence over a route's priority
+  // Takes precedence over a route's priority; unset if none is stated.
+  std::optional<int> priority;
   double requests_per_second = 0;  // 0: no limit
   double burst = 0;                // requests
 
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -25,6 +25,7 @@
    "health_path":"/health","max_conns":330,"cold_start":"3s","cold_per_s":7.3}},
  {"resource_kind":"tenants","metadata":{"name":"w1"},"spec":{
    "api_keys":["k1","k2"],"priority":1,"rate_per_s":33,"burst":34}},
+ {"resource_kind":"tenants","metadata":{"name":"w2"},"spec":{"api_keys":["k3"]}},
  {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":1000,
    "max_body_bytes":2000,"header_timeout":"3000ms","idle_timeout":"15s"}},
  {"resource_kind":"novelties","metadata":{},"spec":{}}]})";
@@ -70,6 +71,9 @@
   CHECK(workspace.key_digests ==
         std::vector<std::string>{SecretDigest("k1"), SecretDigest("k2")});
   CHECK(workspace.burst == 34);
+  CHECK(workspace.priority == 1);
+  // Guards against a priority that takes precedence although none is stated.
+  CHECK_FALSE(decoded.workspaces.at("w2").priority);
   CHECK(decoded.limits.max_body_bytes == 2'000);
   CHECK(decoded.limits.idle_timeout == seconds(15));
 }
