--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -5,7 +5,6 @@
 
 #include "base/random_id.h"
 #include "gateway/address_selection.h"
-#include "gateway/proxied_request.h"
 #include "logging/event_log.h"
 
 namespace parsleyquay {
@@ -120,6 +119,11 @@
                            const ClientUsage& usage) {
                       this->OnClientsClosed(reason, count, usage);
                     }),
+      admission(this->context,
+                this->load_balancer,
+                [this](const std::string& service) {
+                  return this->MakeRequestDependencies().CanSpendRetry(service);
+                }),
       flush_timer(loop, [] { FlushEventLog(); }),
       loop_stall_detector(
           loop,
@@ -127,8 +131,9 @@
           [this](const LoopStall& stall) { this->OnLoopStall(stall); }),
       drain_timer(loop, [this] { this->CheckDrained(); }) {
   this->context.incarnation = RandomHex(kIncarnationBytes);
-  this->context.coordination.era->Watch([](std::uint64_t era) {
+  this->context.coordination.era->Watch([this](std::uint64_t era) {
     LogEvent(LogLevel::kWarning, "store_era", {{"era", std::to_string(era)}});
+    this->rollout_controller.OnStoreRestored();
   });
 }
 
@@ -225,11 +230,14 @@
               }};
 }
 
+RequestDependencies Gateway::MakeRequestDependencies() {
+  return {this->context, this->rate_limiter, this->load_balancer,
+          this->retry_budgets, this->admission};
+}
+
 void Gateway::OnRequest(std::shared_ptr<ServerExchange> exchange) {
-  std::make_shared<ProxiedRequest>(
-      RequestDependencies{this->context, this->rate_limiter,
-                          this->load_balancer, this->retry_budgets},
-      std::move(exchange))
+  std::make_shared<ProxiedRequest>(this->MakeRequestDependencies(),
+                                   std::move(exchange))
       ->Start();
 }
 
@@ -304,6 +312,8 @@
   GatewayMetrics metrics = this->context.metrics;
   IncrementCounter(metrics, "active_requests",
                    this->context.active_requests.size());
+  IncrementCounter(metrics, "admission_waiting",
+                   this->admission.waiting_count());
   IncrementCounter(metrics, "configuration_version",
                    this->context.configuration_version());
   IncrementCounter(metrics, "members_alive",
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -7,10 +7,12 @@
 #include <string>
 
 #include "event/loop_stall_detector.h"
+#include "gateway/admission_controller.h"
 #include "gateway/configuration_watcher.h"
 #include "gateway/dissemination_agent.h"
 #include "gateway/gateway_context.h"
 #include "gateway/load_balancer.h"
+#include "gateway/proxied_request.h"
 #include "gateway/rollout_controller.h"
 #include "gateway/server_discovery.h"
 #include "gateway/workspace_rate_limiter.h"
@@ -53,6 +55,7 @@
                        std::size_t count,
                        const ClientUsage& usage);
   void ApplyClientTimeouts();
+  RequestDependencies MakeRequestDependencies();
   void OnRequest(std::shared_ptr<ServerExchange> exchange);
   void OnReadinessProbe(ServerExchange& exchange);
   void OnAddressQuery(ServerExchange& exchange);
@@ -73,6 +76,7 @@
   ConfigurationWatcher configuration_watcher;
   std::map<std::string, FleetRetryBudget> retry_budgets;  // by service
   ClientBudget client_budget;
+  AdmissionController admission;
   std::unique_ptr<HttpServer> request_server;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> address_query_server;
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/admission_queue.h"
 #include "base/clock.h"
 #include "client_limits/client_limits.h"
 #include "coordination/member_record.h"
@@ -59,6 +60,7 @@
   long shard_count = 1;       // shards, among which workspaces are distributed
   Duration shortest_lease = seconds(1);  // that the store accepts for shards
   FleetBounds bounds;
+  AdmissionLimits admission;  // without its section, requests never wait
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -104,7 +104,8 @@
          found->second.listing.address == reservation.address &&
          found->second.listing.incarnation == reservation.incarnation &&
          MayReceiveRequests(roster, found->second) &&
-         this->rollouts.MayReceive(reservation.service, reservation.version);
+         this->rollouts.MayReceive(reservation.service, reservation.version) &&
+         !this->IsPaused(reservation.server);
 }
 
 // Chooses among the servers of the versions that a rollout of the service
@@ -199,6 +200,9 @@
   if (*outcome == ServerOutcome::kServed && !was_queued) {
     this->UpdateServiceTime(reservation);
   }
+  if (*outcome == ServerOutcome::kServed) {
+    RecordEvents(this->own_rates[reservation.service], 1, this->context.Now());
+  }
   this->UpdatePath(state, *outcome);
   this->on_report({reservation.server, *outcome, total,
                    this->Observe(reservation, outcome)});
@@ -206,6 +210,7 @@
 
 void LoadBalancer::ReportOutcome(const ServerReservation& reservation,
                                  ServerOutcome outcome) {
+  RecordEvents(this->own_rates[reservation.service], 1, this->context.Now());
   this->on_report(
       {reservation.server, outcome, -1, this->Observe(reservation, outcome)});
 }
@@ -246,6 +251,10 @@
         RecordEvents(this->attempt_rates[service], static_cast<double>(count),
                      now);
       }
+      if (outcome == ServerOutcome::kShed) {
+        RecordEvents(this->shed_rates[service], static_cast<double>(count),
+                     now);
+      }
       if (outcome == ServerOutcome::kServed) {
         RecordEvents(this->served_rates[service], static_cast<double>(count),
                      now);
@@ -329,7 +338,7 @@
   const TimePoint now = this->context.Now();
   if (!MayReceiveRequests(this->discovery.roster(), entry) ||
       criteria.tried_servers.contains(server) ||
-      now < this->StateOf(server).misdirected_until) {
+      now < this->StateOf(server).misdirected_until || this->IsPaused(server)) {
     return false;
   }
   return now >= entry.cold_until ||
--- a/libraries/gateway/rollout_controller_driver.cc
+++ b/libraries/gateway/rollout_controller_driver.cc
@@ -301,7 +301,9 @@
                outcome == PublishOutcome::kConflict ? "conflict" : "unknown"}});
     return;
   }
-  ++rollout.position->offset;
+  if (rollout.position) {
+    ++rollout.position->offset;
+  }
   rollout.stored = status;
   if (rollout.wanted == status) {
     rollout.wanted.reset();
