rate_limiting: Wait for the lease of a silent owner, and log unreached owners

Cause: a new owner granted as soon as the previous one was silent for 3.2 s, although that one may hold its lease of 5 s beyond a network partition. A late response to an earlier renewal could restore shards that a later one had taken away. The logs did not say why a request was decided by the fallback quota.

Change: the decisions on ownership move to ShardOwnership. An owner does not grant while a silent instance that claims the shard may hold its lease. Late responses are ignored. event=shard_owner says on change why a shard's requests are decided by the fallback quota; the metric shards_without_owner counts the shards without a known owner.

--- a/libraries/dissemination/member_table.cc
+++ b/libraries/dissemination/member_table.cc
@@ -239,6 +239,20 @@
   return newest;
 }
 
+std::optional<TimePoint> NewestSilentClaim(const MemberTable& table,
+                                           const std::string& name,
+                                           long shard,
+                                           TimePoint now) {
+  std::optional<TimePoint> newest;
+  for (const auto& [other, entry] : table.members) {
+    if (other != name && !IsAlive(entry, now) && !entry.status.is_leaving &&
+        entry.shard_claims.contains(shard)) {
+      newest = std::max(newest, std::optional(entry.last_heard_at));
+    }
+  }
+  return newest;
+}
+
 std::vector<std::string> AllMemberNames(const MemberTable& table) {
   std::vector<std::string> names;
   std::ranges::transform(table.members, std::back_inserter(names),
--- a/libraries/dissemination/member_table.h
+++ b/libraries/dissemination/member_table.h
@@ -143,6 +143,14 @@
                                           long shard,
                                           TimePoint now);
 
+// Returns the latest time at which a silent member other than `name` was heard
+// whose last status states that it owns the shard, or std::nullopt if there is
+// none. Such a member may still own it beyond a network partition.
+std::optional<TimePoint> NewestSilentClaim(const MemberTable& table,
+                                           const std::string& name,
+                                           long shard,
+                                           TimePoint now);
+
 std::vector<std::string> AllMemberNames(const MemberTable& table);
 
 // Returns the position of a member among all names in alphabetical order, from
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -239,6 +239,8 @@
                    this->context.configuration_version());
   IncrementCounter(metrics, "members_alive",
                    CountAlive(this->context.members, this->context.Now()));
+  IncrementCounter(metrics, "shards_without_owner",
+                   this->rate_limiter.CountShardsWithoutOwner());
   IncrementCounter(metrics, "servers_listed",
                    this->server_discovery.roster().servers.size());
   IncrementCounter(metrics, "server_list_reads_failed",
--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -29,9 +30,6 @@
 // An instance counts as recently started for this long. Afterwards all members
 // have discovered each other.
 constexpr Duration kStartupPeriod = seconds(3);
-// An owner stops granting tokens this long before the store may assign its
-// shards to other members.
-constexpr Duration kShardLeaseMargin = milliseconds(200);
 
 // A datagram takes a few milliseconds to any instance. The second attempt makes
 // up for one lost datagram.
@@ -118,13 +116,17 @@
 }
 
 bool WorkspaceRateLimiter::has_unowned_shard() const {
-  for (long shard = 0;
-       shard < this->context.coordination.shard_group.shard_count; ++shard) {
-    if (!this->IsOwned(shard) && !this->OwnerAddressOf(shard)) {
-      return true;
-    }
-  }
-  return false;
+  return this->CountShardsWithoutOwner() > 0;
+}
+
+std::uint64_t WorkspaceRateLimiter::CountShardsWithoutOwner() const {
+  const auto shards = std::views::iota(
+      0L, std::max(0L, this->context.coordination.shard_group.shard_count));
+  return static_cast<std::uint64_t>(
+      std::ranges::count_if(shards, [this](long shard) {
+        return !IsAssigned(this->ownership, shard, this->context.Now()) &&
+               !this->OwnerAddressOf(shard);
+      }));
 }
 
 std::vector<std::string> WorkspaceRateLimiter::MessageMethods() {
@@ -141,6 +143,7 @@
   }
   const long shard = this->ShardOf(workspace);
   if (this->IsOwned(shard)) {
+    this->RecordOwnerState(shard, ShardOwnerState::kReached);
     this->DecideLocally(workspace, max_token_wait, std::move(on_decision));
     return;
   }
@@ -173,24 +176,22 @@
 }
 
 std::vector<long> WorkspaceRateLimiter::OwnedShards() const {
-  return this->context.Now() < this->lease_expires_at ? this->assignment.shards
-                                                      : std::vector<long>();
+  return ListAssignedShards(this->ownership, this->context.Now());
 }
 
 void WorkspaceRateLimiter::GiveUpSupersededShards() {
   const bool owned_any = !this->OwnedShards().empty();
-  const auto given_up =
-      std::erase_if(this->assignment.shards, [this](long shard) {
-        const auto claim =
-            NewestOtherClaim(this->context.members, this->context.settings.name,
-                             shard, this->context.Now());
-        return claim && *claim > this->confirmed_at;
+  const std::size_t given_up =
+      GiveUpSuperseded(this->ownership, [this](long shard) {
+        return NewestOtherClaim(this->context.members,
+                                this->context.settings.name, shard,
+                                this->context.Now());
       });
   if (given_up == 0) {
     return;
   }
   LogEvent(LogLevel::kWarning, "duties_superseded",
-           {{"generation", std::to_string(this->assignment.generation)},
+           {{"generation", std::to_string(this->ownership.generation)},
             {"duties", std::to_string(given_up)}});
   // The next assignment drops the buckets of these shards, since it does not
   // continue their ownership.
@@ -207,24 +208,26 @@
 
 void WorkspaceRateLimiter::ReleaseShardLease() {
   this->renew_timer.Stop();
-  if (!this->assignment.shards.empty()) {
+  if (!this->ownership.shards.empty()) {
     LogEvent(LogLevel::kInfo, "duties_handed_back",
-             {{"generation", std::to_string(this->assignment.generation)}});
+             {{"generation", std::to_string(this->ownership.generation)}});
   }
-  this->assignment = {};
-  this->lease_expires_at = TimePoint();
+  ReleaseAll(this->ownership, this->context.Now());
   this->token_buckets = {};
   this->context.coordination.shard_group.leave(this->context.settings.name,
                                                [] {});
 }
 
+Duration WorkspaceRateLimiter::LeaseDuration() const {
+  return std::max(kShardLeaseDuration, this->context.settings.shortest_lease);
+}
+
 void WorkspaceRateLimiter::RenewShardLease() {
   const TimePoint sent_at = this->context.Now();
-  const Duration lease_duration =
-      std::max(kShardLeaseDuration, this->context.settings.shortest_lease);
+  const Duration lease_duration = this->LeaseDuration();
   this->renew_timer.StartOnce(kRenewInterval);
   this->context.coordination.shard_group.renew(
-      this->context.settings.name, lease_duration, this->assignment.generation,
+      this->context.settings.name, lease_duration, this->ownership.generation,
       [this, sent_at, lease_duration](std::optional<ShardAssignment> assigned) {
         this->OnAssignment(std::move(assigned), sent_at, lease_duration);
       });
@@ -238,10 +241,11 @@
   }
   const std::vector<long> before = this->OwnedShards();
   const bool is_new_generation =
-      assigned->generation != this->assignment.generation;
-  this->assignment = std::move(*assigned);
-  this->confirmed_at = sent_at;
-  this->lease_expires_at = sent_at + lease_duration - kShardLeaseMargin;
+      assigned->generation != this->ownership.generation;
+  if (!ApplyAssignment(this->ownership, assigned->generation,
+                       std::move(assigned->shards), sent_at, lease_duration)) {
+    return;
+  }
   // Workspaces of shards that were not owned without interruption start with
   // empty buckets.
   std::erase_if(this->token_buckets.buckets, [&](const auto& bucket) {
@@ -257,8 +261,8 @@
   }
   if (is_new_generation) {
     LogEvent(LogLevel::kInfo, "duties_dealt",
-             {{"generation", std::to_string(this->assignment.generation)},
-              {"duties", std::to_string(this->assignment.shards.size())}});
+             {{"generation", std::to_string(this->ownership.generation)},
+              {"duties", std::to_string(this->ownership.shards.size())}});
     // The store assigns the lost shards to other members only after the next
     // renewal acknowledges the new generation.
     this->renew_timer.StartOnce(kEarlyRenewDelay);
@@ -274,11 +278,13 @@
 
 bool WorkspaceRateLimiter::IsOwned(long shard) const {
   const TimePoint now = this->context.Now();
-  return now < this->lease_expires_at &&
-         std::ranges::find(this->assignment.shards, shard) !=
-             this->assignment.shards.end() &&
-         !NewestOtherClaim(this->context.members, this->context.settings.name,
-                           shard, now);
+  const std::string& name = this->context.settings.name;
+  return MayGrant(
+      this->ownership, shard,
+      {.newest_live = NewestOtherClaim(this->context.members, name, shard, now),
+       .newest_silent =
+           NewestSilentClaim(this->context.members, name, shard, now)},
+      this->LeaseDuration(), now);
 }
 
 std::optional<std::string> WorkspaceRateLimiter::OwnerAddressOf(
@@ -327,7 +333,7 @@
   PendingRequest& request = this->pending_requests.at(id);
   const auto address = this->OwnerAddressOf(this->ShardOf(request.workspace));
   if (!this->context.peer_transport || !address) {
-    this->OnOwnerUnreachable(id);
+    this->OnOwnerUnreachable(id, ShardOwnerState::kUnknown);
     return;
   }
   ++request.send_attempts;
@@ -352,14 +358,16 @@
     return;
   }
   IncrementCounter(this->context.metrics, "allowance_asks_unanswered");
-  this->OnOwnerUnreachable(id);
+  this->OnOwnerUnreachable(id, ShardOwnerState::kSilent);
 }
 
 // Decides by the fallback quota. If it is used up, waits for an owner until the
 // request's owner deadline; after a restart of all instances, for example, the
 // shards have no owners at first.
-void WorkspaceRateLimiter::OnOwnerUnreachable(std::uint64_t id) {
+void WorkspaceRateLimiter::OnOwnerUnreachable(std::uint64_t id,
+                                              ShardOwnerState state) {
   PendingRequest& request = this->pending_requests.at(id);
+  this->RecordOwnerState(this->ShardOf(request.workspace), state);
   const RateLimitDecision decision =
       this->DecideByFallbackQuota(request.workspace);
   if (decision.is_granted || this->context.Now() >= request.owner_deadline) {
@@ -372,6 +380,14 @@
   request.timer->StartOnce(kOwnerRetryInterval);
 }
 
+void WorkspaceRateLimiter::RecordOwnerState(long shard, ShardOwnerState state) {
+  this->owner_log.Record(
+      shard, state,
+      OtherOwners(this->context.members, this->context.settings.name, shard,
+                  this->context.Now())
+          .size());
+}
+
 void WorkspaceRateLimiter::RetryTokenRequest(std::uint64_t id) {
   PendingRequest& request = this->pending_requests.at(id);
   if (!this->IsOwned(this->ShardOf(request.workspace))) {
@@ -412,12 +428,17 @@
     return;
   }
   const Duration delay(parameters["r"].asInt64());
+  if (!found->second.workspace.empty() &&
+      parameters["g"].asInt() != kNotOwner) {
+    this->RecordOwnerState(this->ShardOf(found->second.workspace),
+                           ShardOwnerState::kReached);
+  }
   switch (parameters["g"].asInt()) {
     case kGranted:
       this->GrantAfter(id, delay, RateLimitSource::kRemoteOwner);
       return;
     case kNotOwner:
-      this->OnOwnerUnreachable(id);
+      this->OnOwnerUnreachable(id, ShardOwnerState::kDeclined);
       return;
     default:
       this->Complete(id, {false, RateLimitSource::kRemoteOwner, delay});
--- a/libraries/gateway/workspace_rate_limiter.h
+++ b/libraries/gateway/workspace_rate_limiter.h
@@ -11,8 +11,10 @@
 
 #include "event/timer.h"
 #include "gateway/gateway_context.h"
+#include "gateway/shard_owner_log.h"
 #include "rate_limiting/fallback_quota.h"
 #include "rate_limiting/shard_owner_eligibility.h"
+#include "rate_limiting/shard_ownership.h"
 #include "rate_limiting/workspace_token_buckets.h"
 
 namespace parsleyquay {
@@ -42,8 +44,9 @@
 // at a time, its owner. The owner keeps the token buckets of the shard's
 // workspaces and decides on the token requests of all instances. The store may
 // assign a shard anew before the earlier owner learns of it. Therefore an owner
-// grants no tokens while another live instance claims the shard, and gives it
-// up if that claim is newer than its own last renewal. An instance
+// grants no tokens while another live instance claims the shard, or a silent
+// one may still hold its lease, and gives the shard up if a live claim is newer
+// than its own last renewal. An instance
 // that reaches no owner decides by its fallback quota, which is its part of the
 // overshoot that the fleet limits tolerate. The parts of all instances add up
 // to that overshoot, so that the fleet keeps its limits during any network
@@ -81,6 +84,10 @@
   // The numbers of the shards that this instance owns now.
   std::vector<long> OwnedShards() const;
 
+  // Returns the number of shards of which no live instance is known to be the
+  // owner.
+  std::uint64_t CountShardsWithoutOwner() const;
+
   // Gives up the shards that another instance has claimed since the store last
   // confirmed them to this one. Called when members' claims may have changed.
   void GiveUpSupersededShards();
@@ -102,6 +109,7 @@
   void UpdateEligibilityAndLease();
   ShardOwnerConditions OwnConditions() const;
   bool has_unowned_shard() const;
+  Duration LeaseDuration() const;
   void ReleaseShardLease();
   void RenewShardLease();
   void OnAssignment(std::optional<ShardAssignment> assigned,
@@ -115,7 +123,8 @@
                      Duration max_token_wait,
                      OnDecision on_decision);
   void SendTokenRequest(std::uint64_t id);
-  void OnOwnerUnreachable(std::uint64_t id);
+  void OnOwnerUnreachable(std::uint64_t id, ShardOwnerState state);
+  void RecordOwnerState(long shard, ShardOwnerState state);
   void RetryTokenRequest(std::uint64_t id);
   void OnReplyTimeout(std::uint64_t id);
   void OnTokenRequest(const Json::Value& parameters);
@@ -133,11 +142,10 @@
   TimePoint started_at;
   // An assignment of an earlier incarnation was released or taken over.
   bool has_resolved_previous_lease = false;
-  ShardAssignment assignment;
-  TimePoint confirmed_at;  // when the newest successful renewal was sent
-  TimePoint lease_expires_at;
+  ShardOwnership ownership;
   WorkspaceTokenBuckets token_buckets;  // of the workspaces in owned shards
   std::map<std::string, SlidingWindow> fallback_uses;  // by workspace
+  ShardOwnerLog owner_log;
   std::map<std::uint64_t, PendingRequest> pending_requests;
   std::uint64_t next_request_id = 1;
 };
--- a/tests/dissemination/rejoin_test.cc
+++ b/tests/dissemination/rejoin_test.cc
@@ -2,6 +2,7 @@
 // an aggregator that was partitioned keeps its role, and the shards' owners
 // stay unknown to its followers.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "dissemination/simulated_fleet.h"
@@ -59,5 +60,57 @@
   CHECK(unknown.empty());
 }
 
+// Guards against digests that reach one side only after the partition.
+TEST_CASE("a configuration reaches members that were partitioned") {
+  SimulatedFleet fleet(kInstances, kDomains, 2);
+  fleet.RunFor(seconds(5));
+  fleet.Partition(PartitionThird(fleet));
+  fleet.RunFor(seconds(4));
+  for (auto& [name, member] : fleet.members) {
+    if (member.election.role.is_aggregator) {
+      fleet.SetConfigurationVersion(name, name.back() == '2' ? 8 : 7);
+    }
+  }
+  fleet.Partition({});
+  fleet.RunFor(seconds(2));
+  for (const auto& [name, member] : fleet.members) {
+    CHECK(member.configuration_version == 8);
+  }
+}
+
+// Guards against messages that are sent without a partition, or in numbers that
+// grow with the fleet.
+TEST_CASE("rejoin messages are sent only after silence, in bounded numbers") {
+  const auto sizes = {std::pair{36, 6}, std::pair{444, 12}};
+  for (const auto& [instances, domains] : sizes) {
+    SimulatedFleet fleet(instances, domains, 3);
+    fleet.RunFor(seconds(5));
+    const auto count_probes = [&] {
+      std::uint64_t most = 0;
+      for (const auto& [name, member] : fleet.members) {
+        most = std::max(most, member.rejoin.probes_sent);
+      }
+      return most;
+    };
+    CHECK(count_probes() == 0);
+    CHECK(fleet.message_counts[kAggregatorReferralMethod] == 0);
+    fleet.Partition(PartitionThird(fleet));
+    fleet.RunFor(seconds(5));
+    CHECK(count_probes() > 0);
+    CHECK(count_probes() <= 8 * 5);
+  }
+}
+
+// Guards against a lost referral or heartbeat that is misread.
+TEST_CASE("a decoded referral equals the encoded one") {
+  const AggregatorReferral referral{.sender = "a", .aggregator = "b"};
+  CHECK(DecodeAggregatorReferral(EncodeAggregatorReferral(referral)) ==
+        referral);
+  CHECK_FALSE(DecodeAggregatorReferral(Json::Value(Json::objectValue)));
+  const Heartbeat heartbeat{.status = {.record = {.name = "a"}},
+                            .aggregator = "b"};
+  CHECK(DecodeHeartbeat(EncodeHeartbeat(heartbeat)) == heartbeat);
+}
+
 }  // namespace
 }  // namespace parsleyquay
