--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -29,9 +30,6 @@
 // An instance counts as recently started for this long. Afterwards all members
 // have discovered each other.
 constexpr Duration kStartupPeriod = seconds(3);
-// An owner stops granting tokens this long before the store may assign its
-// shards to other members.
-constexpr Duration kShardLeaseMargin = milliseconds(200);
 
 // A datagram takes a few milliseconds to any instance. The second attempt makes
 // up for one lost datagram.
@@ -121,13 +119,17 @@
 }
 
 bool WorkspaceRateLimiter::has_unowned_shard() const {
-  for (long shard = 0;
-       shard < this->context.coordination.shard_group.shard_count; ++shard) {
-    if (!this->IsOwned(shard) && !this->OwnerAddressOf(shard)) {
-      return true;
-    }
-  }
-  return false;
+  return this->CountShardsWithoutOwner() > 0;
+}
+
+std::uint64_t WorkspaceRateLimiter::CountShardsWithoutOwner() const {
+  const auto shards = std::views::iota(
+      0L, std::max(0L, this->context.coordination.shard_group.shard_count));
+  return static_cast<std::uint64_t>(
+      std::ranges::count_if(shards, [this](long shard) {
+        return !IsAssigned(this->ownership, shard, this->context.Now()) &&
+               !this->OwnerAddressOf(shard);
+      }));
 }
 
 std::vector<std::string> WorkspaceRateLimiter::MessageMethods() {
@@ -140,7 +142,9 @@
     on_decision({true, RateLimitSource::kNoLimit});
     return;
   }
-  if (this->IsOwned(this->ShardOf(request.workspace))) {
+  const long shard = this->ShardOf(request.workspace);
+  if (this->IsOwned(shard)) {
+    this->RecordOwnerState(shard, ShardOwnerState::kReached);
     this->DecideLocally(request, std::move(on_decision));
     return;
   }
@@ -172,8 +176,7 @@
 }
 
 std::vector<long> WorkspaceRateLimiter::OwnedShards() const {
-  return this->context.Now() < this->lease_expires_at ? this->assignment.shards
-                                                      : std::vector<long>();
+  return ListAssignedShards(this->ownership, this->context.Now());
 }
 
 bool WorkspaceRateLimiter::OwnsShardOf(const std::string& name) const {
@@ -182,18 +185,17 @@
 
 void WorkspaceRateLimiter::GiveUpSupersededShards() {
   const bool owned_any = !this->OwnedShards().empty();
-  const auto given_up =
-      std::erase_if(this->assignment.shards, [this](long shard) {
-        const auto claim =
-            NewestOtherClaim(this->context.members, this->context.settings.name,
-                             shard, this->context.Now());
-        return claim && *claim > this->confirmed_at;
+  const std::size_t given_up =
+      GiveUpSuperseded(this->ownership, [this](long shard) {
+        return NewestOtherClaim(this->context.members,
+                                this->context.settings.name, shard,
+                                this->context.Now());
       });
   if (given_up == 0) {
     return;
   }
   LogEvent(LogLevel::kWarning, "duties_superseded",
-           {{"generation", std::to_string(this->assignment.generation)},
+           {{"generation", std::to_string(this->ownership.generation)},
             {"duties", std::to_string(given_up)}});
   // The next assignment drops the buckets of these shards, since it does not
   // continue their ownership.
@@ -210,12 +212,11 @@
 
 void WorkspaceRateLimiter::ReleaseShardLease() {
   this->renew_timer.Stop();
-  if (!this->assignment.shards.empty()) {
+  if (!this->ownership.shards.empty()) {
     LogEvent(LogLevel::kInfo, "duties_handed_back",
-             {{"generation", std::to_string(this->assignment.generation)}});
+             {{"generation", std::to_string(this->ownership.generation)}});
   }
-  this->assignment = {};
-  this->lease_expires_at = TimePoint();
+  ReleaseAll(this->ownership, this->context.Now());
   this->token_buckets = {};
   this->context.coordination.shard_group.leave(this->context.settings.name,
                                                [] {});
@@ -224,27 +225,30 @@
 // The store may have assigned the shards to others in the new era, so none is
 // owned until it confirms them.
 void WorkspaceRateLimiter::OnNewEra(std::uint64_t era) {
-  if (!this->eligibility.is_eligible || this->assignment.era >= era) {
+  if (!this->eligibility.is_eligible || this->ownership_era >= era) {
     return;
   }
   const bool owned_any = !this->OwnedShards().empty();
-  this->lease_expires_at = TimePoint();
+  this->ownership.expires_at = TimePoint();
   if (owned_any) {
     this->on_ownership_change();
   }
   this->RenewShardLease();
 }
 
+Duration WorkspaceRateLimiter::LeaseDuration() const {
+  return std::max(kShardLeaseDuration, this->context.settings.shortest_lease);
+}
+
 void WorkspaceRateLimiter::RenewShardLease() {
   const TimePoint sent_at = this->context.Now();
-  const Duration lease_duration =
-      std::max(kShardLeaseDuration, this->context.settings.shortest_lease);
+  const Duration lease_duration = this->LeaseDuration();
   this->renew_timer.StartOnce(kRenewInterval);
   const bool is_of_present_era =
-      this->assignment.era >= this->context.coordination.era->known();
+      this->ownership_era >= this->context.coordination.era->known();
   this->context.coordination.shard_group.renew(
       this->context.settings.name, lease_duration,
-      is_of_present_era ? this->assignment.generation : 0,
+      is_of_present_era ? this->ownership.generation : 0,
       [this, sent_at, lease_duration](std::optional<ShardAssignment> assigned) {
         this->OnAssignment(std::move(assigned), sent_at, lease_duration);
       });
@@ -256,16 +260,19 @@
   if (!assigned || !this->eligibility.is_eligible) {
     return;
   }
-  if (assigned->era < this->assignment.era ||
+  if (assigned->era < this->ownership_era ||
       assigned->era < this->context.coordination.era->known()) {
     return;
   }
   const std::vector<long> before = this->OwnedShards();
-  const bool is_new_generation = !IsSameGeneration(*assigned, this->assignment);
-  const bool is_new_era = assigned->era != this->assignment.era;
-  this->assignment = std::move(*assigned);
-  this->confirmed_at = sent_at;
-  this->lease_expires_at = sent_at + lease_duration - kShardLeaseMargin;
+  const bool is_new_era = assigned->era != this->ownership_era;
+  const bool is_new_generation =
+      is_new_era || assigned->generation != this->ownership.generation;
+  if (!ApplyAssignment(this->ownership, assigned->generation,
+                       std::move(assigned->shards), sent_at, lease_duration)) {
+    return;
+  }
+  this->ownership_era = assigned->era;
   // Workspaces of shards that were not owned without interruption start with
   // empty buckets. In a new era, others may have owned them in between.
   std::erase_if(this->token_buckets.buckets, [&](const auto& bucket) {
@@ -281,8 +288,8 @@
   }
   if (is_new_generation) {
     LogEvent(LogLevel::kInfo, "duties_dealt",
-             {{"generation", std::to_string(this->assignment.generation)},
-              {"duties", std::to_string(this->assignment.shards.size())}});
+             {{"generation", std::to_string(this->ownership.generation)},
+              {"duties", std::to_string(this->ownership.shards.size())}});
     // The store assigns the lost shards to other members only after the next
     // renewal acknowledges the new generation.
     this->renew_timer.StartOnce(kEarlyRenewDelay);
@@ -298,11 +305,13 @@
 
 bool WorkspaceRateLimiter::IsOwned(long shard) const {
   const TimePoint now = this->context.Now();
-  return now < this->lease_expires_at &&
-         std::ranges::find(this->assignment.shards, shard) !=
-             this->assignment.shards.end() &&
-         !NewestOtherClaim(this->context.members, this->context.settings.name,
-                           shard, now);
+  const std::string& name = this->context.settings.name;
+  return MayGrant(
+      this->ownership, shard,
+      {.newest_live = NewestOtherClaim(this->context.members, name, shard, now),
+       .newest_silent =
+           NewestSilentClaim(this->context.members, name, shard, now)},
+      this->LeaseDuration(), now);
 }
 
 std::optional<std::string> WorkspaceRateLimiter::OwnerAddressOf(
@@ -370,7 +379,7 @@
   const auto address =
       this->OwnerAddressOf(this->ShardOf(request.token.workspace));
   if (!this->context.peer_transport || !address) {
-    this->OnOwnerUnreachable(id);
+    this->OnOwnerUnreachable(id, ShardOwnerState::kUnknown);
     return;
   }
   ++request.send_attempts;
@@ -398,14 +407,16 @@
     return;
   }
   IncrementCounter(this->context.metrics, "allowance_asks_unanswered");
-  this->OnOwnerUnreachable(id);
+  this->OnOwnerUnreachable(id, ShardOwnerState::kSilent);
 }
 
 // Decides by the fallback quota. If it is used up, waits for an owner until the
 // request's owner deadline; after a restart of all instances, for example, the
 // shards have no owners at first.
-void WorkspaceRateLimiter::OnOwnerUnreachable(std::uint64_t id) {
+void WorkspaceRateLimiter::OnOwnerUnreachable(std::uint64_t id,
+                                              ShardOwnerState state) {
   PendingRequest& request = this->pending_requests.at(id);
+  this->RecordOwnerState(this->ShardOf(request.token.workspace), state);
   const RateLimitDecision decision =
       this->DecideByFallbackQuota(request.token.workspace);
   if (decision.is_granted || this->context.Now() >= request.owner_deadline) {
@@ -418,6 +429,14 @@
   request.timer->StartOnce(kOwnerRetryInterval);
 }
 
+void WorkspaceRateLimiter::RecordOwnerState(long shard, ShardOwnerState state) {
+  this->owner_log.Record(
+      shard, state,
+      OtherOwners(this->context.members, this->context.settings.name, shard,
+                  this->context.Now())
+          .size());
+}
+
 void WorkspaceRateLimiter::RetryTokenRequest(std::uint64_t id) {
   PendingRequest& request = this->pending_requests.at(id);
   if (!this->IsOwned(this->ShardOf(request.token.workspace))) {
@@ -458,12 +477,17 @@
     return;
   }
   const Duration delay(parameters["r"].asInt64());
+  if (!found->second.workspace.empty() &&
+      parameters["g"].asInt() != kNotOwner) {
+    this->RecordOwnerState(this->ShardOf(found->second.workspace),
+                           ShardOwnerState::kReached);
+  }
   switch (parameters["g"].asInt()) {
     case kGranted:
       this->GrantAfter(id, delay, RateLimitSource::kRemoteOwner);
       return;
     case kNotOwner:
-      this->OnOwnerUnreachable(id);
+      this->OnOwnerUnreachable(id, ShardOwnerState::kDeclined);
       return;
     default:
       this->Complete(id, {false, RateLimitSource::kRemoteOwner, delay});
