tests: Check more malformed status lines of servers

Cause: statuses below 100, above 999, missing, signed or with letters were covered in part only, and on kept connections only.

Change: 19 more heads, of final and interim responses, each on a connection that has carried a request and on a fresh one.

--- a/tests/gateway/foreign_bytes_test.cc
+++ b/tests/gateway/foreign_bytes_test.cc
@@ -214,6 +214,25 @@
     {.status_line = "HTTP/1.1 20 OK\r\n"},
     {.status_line = "HTTP/1.1 000 OK\r\n"},
     {.status_line = "HTTP/1.1 600 OK\r\n"},
+    {.status_line = "HTTP/1.1 099 OK\r\n"},
+    {.status_line = "HTTP/1.1 99 OK\r\n"},
+    {.status_line = "HTTP/1.1 1000 OK\r\n"},
+    {.status_line = "HTTP/1.1 999 OK\r\n"},
+    {.status_line = "HTTP/1.1 +20 OK\r\n"},
+    {.status_line = "HTTP/1.1 +200 OK\r\n"},
+    {.status_line = "HTTP/1.1 -200 OK\r\n"},
+    {.status_line = "HTTP/1.1 2OO OK\r\n"},
+    {.status_line = "HTTP/1.1 20x OK\r\n"},
+    {.status_line = "HTTP/1.1 0x2 OK\r\n"},
+    {.status_line = "HTTP/1.1 \r\n"},
+    {.status_line = "HTTP/1.1\r\n"},
+    {.status_line = "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\n"},
+    {.status_line = "HTTP/1.1 1030 Early\r\n\r\nHTTP/1.1 200 OK\r\n"},
+    {.status_line = "HTTP/1.1 +103 Early\r\n\r\nHTTP/1.1 200 OK\r\n"},
+    {.status_line = "HTTP/1.1 1O3 Early\r\n\r\nHTTP/1.1 200 OK\r\n"},
+    {.status_line = "HTTP/1.1 Early\r\n\r\nHTTP/1.1 200 OK\r\n"},
+    {.status_line = "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 99 OK\r\n"},
+    {.status_line = "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 1000 OK\r\n"},
     {.status_line = "HTTP/1.1 OK\r\n"},
     {.status_line = "HTTP/1.2 200 OK\r\n"},
     {.status_line = "HTTP/2 200\r\n"},
@@ -270,6 +289,21 @@
   }
 }
 
+// Guards against the same on a connection that has carried no earlier request.
+TEST_CASE("a head that cannot be read in full fails a fresh connection") {
+  for (const BadHead& bad : bad_heads) {
+    INFO(bad.status_line << bad.id_line << bad.more_headers);
+    RecordingServer fixture;
+    const BufferedResponse response =
+        fixture.SendNext([&](const RawRequest& request) {
+          return MakeBadResponse(bad, request);
+        });
+    CHECK(response.status == 502);
+    CHECK(HeaderValueOrEmpty(response.headers, "Response-Signature").empty());
+    CHECK(fixture.server.connections() == 1);
+  }
+}
+
 // Guards against a client being told that a request was not executed on the
 // word of a head that cannot be read in full.
 TEST_CASE("a rejection in a head that cannot be read in full does not count") {
