gateway: Hold requests for overloaded services, and pause servers on request

A saturated service rejected requests of every priority, nearly all of them with most of their time left, and a shed request was rejected unless the retry budget allowed a second attempt at that moment.

AdmissionController connects the decisions of libraries/admission with LoadBalancer, which now estimates a service's capacity from slots, loads, completions and sheds. First attempts ask it before a server is chosen; shed requests wait there for the retry budget. Section [admission] of the settings turns it on (max_waiting, max_waiting_bytes); without the section nothing waits. A server that answers 503 with Retry-After gets nothing from this instance for that time. Waiting requests end with their client, and at SIGTERM before the instance exits. Requests may be late in a short overload; in a long one they have to be in time, and second attempts earlier the more the servers shed.

--- a/libraries/admission/service_admission.cc
+++ b/libraries/admission/service_admission.cc
@@ -20,8 +20,10 @@
 constexpr double kMaxDebtSeconds = 0.5;
 
 // A request may wait if it is expected to take up to this share of its latency
-// target. The rest is for errors of the estimate.
-constexpr double kLatencyTargetShare = 0.75;
+// target, or of its time if the overload is short. The rest is for errors of
+// the estimate.
+constexpr double kLatencyTargetShare = 0.8;
+constexpr double kDeadlineShare = 0.8;
 
 // Share of the latency target within which a rejection costs nothing.
 constexpr double kFreeHoldingShare = 0.125;
@@ -175,6 +177,14 @@
   return FromSeconds(wait);
 }
 
+// Returns whether the requests of the priority and of higher ones that wait
+// become fewer: the overload is short, and a place in the queue is not taken
+// from a later request.
+bool IsDraining(const ServiceAdmission& state, int priority, TimePoint now) {
+  return state.capacity.pause_left > Duration(0) ||
+         HigherRate(state, priority + 1, now) < SendingRateOf(state, priority);
+}
+
 // Returns how much later than permitted a request would be that is sent after
 // `wait`; not positive if it may wait.
 Duration ExcessOf(const ServiceAdmission& state,
@@ -184,13 +194,21 @@
   const TimePoint completion =
       now + wait + ExpectedTimeAtServer(state.capacity);
   const Duration target = TargetOf(request);
-  const TimePoint permitted =
-      std::min(request.deadline,
-               request.started_at + ShareOf(target, kLatencyTargetShare));
   const bool is_short_wait =
       now + wait - request.started_at <= ShareOf(target, kFreeHoldingShare);
   // If the servers are slow, a short wait changes little.
-  return completion - (is_short_wait ? request.deadline : permitted);
+  if (is_short_wait) {
+    return completion - request.deadline;
+  }
+  // A second attempt may be shed as well, and a late rejection costs more.
+  const Duration permitted =
+      request.is_retry ? ShareOf(target, kLatencyTargetShare *
+                                             (1 - state.capacity.shed_share))
+      : IsDraining(state, request.priority, now)
+          ? ShareOf(request.deadline - request.started_at, kDeadlineShare)
+          : ShareOf(target, kLatencyTargetShare);
+  return completion -
+         std::min(request.deadline, request.started_at + permitted);
 }
 
 bool IsHopeless(const ServiceAdmission& state,
--- a/libraries/admission/service_capacity.h
+++ b/libraries/admission/service_capacity.h
@@ -27,8 +27,8 @@
   // Share of the service's requests that this instance handles.
   double instance_share = 1;
   Duration service_time = milliseconds(200);  // without queueing
-  // How long no server may be used because all others asked for a pause; 0:
-  // some server may be used.
+  // How long no server may be used, since all of them asked for a pause; the
+  // other fields then are those of the paused servers. 0: some may be used.
   Duration pause_left = Duration(0);
 
   bool operator==(const ServiceCapacity&) const = default;
--- a/libraries/gateway/error_response.cc
+++ b/libraries/gateway/error_response.cc
@@ -41,6 +41,7 @@
       return kTooManyRequests;
     case ErrorReason::kNotConfigured:
     case ErrorReason::kNoServerAvailable:
+    case ErrorReason::kOverloaded:
     case ErrorReason::kNotExecuted:
     case ErrorReason::kLeaving:
     case ErrorReason::kTimedOutNotExecuted:
@@ -71,6 +72,8 @@
       return "over_allowance";
     case ErrorReason::kNoServerAvailable:
       return "no_server";
+    case ErrorReason::kOverloaded:
+      return "overloaded";
     case ErrorReason::kNotExecuted:
       return "not_run";
     case ErrorReason::kLeaving:
--- a/libraries/gateway/error_response.h
+++ b/libraries/gateway/error_response.h
@@ -20,6 +20,7 @@
   kBodyTooLarge,
   kRateLimited,          // the workspace has exceeded its rate limit
   kNoServerAvailable,    // no server is available, or likely to respond in time
+  kOverloaded,           // it would wait too long for a server
   kNotExecuted,          // no server executed it, and no other one may be tried
   kLeaving,              // the instance exits too soon to serve the request
   kTimedOutNotExecuted,  // at the deadline no server can have executed it
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -5,7 +5,6 @@
 
 #include "base/random_id.h"
 #include "gateway/address_selection.h"
-#include "gateway/proxied_request.h"
 #include "logging/event_log.h"
 
 namespace parsleyquay {
@@ -89,6 +88,11 @@
             this->server_discovery.SetWithdrawnDomains(domains);
           },
           [this] { this->dissemination.SendDigestSoon(); }),
+      admission(this->context,
+                this->load_balancer,
+                [this](const std::string& service) {
+                  return this->MakeRequestDependencies().CanSpendRetry(service);
+                }),
       flush_timer(loop, [] { FlushEventLog(); }),
       loop_stall_detector(
           loop,
@@ -180,11 +184,14 @@
               }};
 }
 
+RequestDependencies Gateway::MakeRequestDependencies() {
+  return {this->context, this->rate_limiter, this->load_balancer,
+          this->retry_budgets, this->admission};
+}
+
 void Gateway::OnRequest(std::shared_ptr<ServerExchange> exchange) {
-  std::make_shared<ProxiedRequest>(
-      RequestDependencies{this->context, this->rate_limiter,
-                          this->load_balancer, this->retry_budgets},
-      std::move(exchange))
+  std::make_shared<ProxiedRequest>(this->MakeRequestDependencies(),
+                                   std::move(exchange))
       ->Start();
 }
 
@@ -235,6 +242,8 @@
   GatewayMetrics metrics = this->context.metrics;
   IncrementCounter(metrics, "active_requests",
                    this->context.active_requests.size());
+  IncrementCounter(metrics, "admission_waiting",
+                   this->admission.waiting_count());
   IncrementCounter(metrics, "configuration_version",
                    this->context.configuration_version());
   IncrementCounter(metrics, "members_alive",
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -7,10 +7,12 @@
 #include <string>
 
 #include "event/loop_stall_detector.h"
+#include "gateway/admission_controller.h"
 #include "gateway/configuration_watcher.h"
 #include "gateway/dissemination_agent.h"
 #include "gateway/gateway_context.h"
 #include "gateway/load_balancer.h"
+#include "gateway/proxied_request.h"
 #include "gateway/server_discovery.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "http/http_server.h"
@@ -48,6 +50,7 @@
           WireProtocol protocol);
   Result<void> Start();
   DisseminationAgent::Handlers MakeDisseminationHandlers();
+  RequestDependencies MakeRequestDependencies();
   void OnRequest(std::shared_ptr<ServerExchange> exchange);
   void OnReadinessProbe(ServerExchange& exchange);
   void OnAddressQuery(ServerExchange& exchange);
@@ -66,6 +69,7 @@
   WorkspaceRateLimiter rate_limiter;
   ConfigurationWatcher configuration_watcher;
   std::map<std::string, FleetRetryBudget> retry_budgets;  // by service
+  AdmissionController admission;
   std::unique_ptr<HttpServer> request_server;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> address_query_server;
--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -18,6 +18,7 @@
 constexpr NumberRange kMemoryRange = {8, 1'000'000};   // MB
 constexpr NumberRange kDescriptorRange = {64, 10'000'000};
 constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
+constexpr NumberRange kWaitingBytesRange = {0, 1e12};
 constexpr NumberRange kShardRange = {1, 10'000};
 
 std::string ReadAddress(SectionReader& reader, const std::string& key) {
@@ -105,17 +106,27 @@
   ReadOptionalNumber(reader, "cold_slack", kCountRange, bounds.cold_slack);
 }
 
+void ReadAdmission(SectionReader& reader, GatewaySettings& settings) {
+  AdmissionLimits& limits = settings.admission;
+  limits.max_waiting =
+      static_cast<std::size_t>(reader.Integer("max_waiting", kCountRange));
+  limits.max_waiting_bytes = static_cast<std::size_t>(
+      reader.Integer("max_waiting_bytes", kWaitingBytesRange));
+}
+
 struct SectionParser {
   std::string name;
   void (*parse)(SectionReader&, GatewaySettings&);
+  bool is_optional = false;
 };
 
-const std::array<SectionParser, 4>& SectionParsers() {
-  static const std::array<SectionParser, 4> parsers = {
+const std::array<SectionParser, 5>& SectionParsers() {
+  static const std::array<SectionParser, 5> parsers = {
       {{"instance", &ReadInstance},
        {"listen", &ReadListen},
        {"store", &ReadStore},
-       {"bounds", &ReadBounds}}};
+       {"bounds", &ReadBounds},
+       {"admission", &ReadAdmission, true}}};
   return parsers;
 }
 
@@ -129,7 +140,9 @@
     const auto section =
         std::ranges::find(document.sections, parser.name, &IniSection::name);
     if (section == document.sections.end()) {
-      parsed.problems.push_back({0, parser.name, "", "", "this section"});
+      if (!parser.is_optional) {
+        parsed.problems.push_back({0, parser.name, "", "", "this section"});
+      }
       continue;
     }
     SectionReader reader(*section, parsed.problems);
@@ -143,7 +156,8 @@
         });
     if (!is_known) {
       parsed.problems.push_back({section.line, section.name, "", "",
-                                 "[instance], [listen], [store] or [bounds]"});
+                                 "[instance], [listen], [store], [bounds] or "
+                                 "[admission]"});
     }
   }
   return parsed;
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/admission_queue.h"
 #include "base/clock.h"
 #include "coordination/member_record.h"
 #include "ini/ini_document.h"
@@ -57,6 +58,7 @@
   long shard_count = 1;       // shards, among which workspaces are distributed
   Duration shortest_lease = seconds(1);  // that the store accepts for shards
   FleetBounds bounds;
+  AdmissionLimits admission;  // without its section, requests never wait
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -96,7 +96,8 @@
   return found != roster.servers.end() &&
          found->second.listing.address == reservation.address &&
          found->second.listing.incarnation == reservation.incarnation &&
-         MayReceiveRequests(roster, found->second);
+         MayReceiveRequests(roster, found->second) &&
+         !this->IsPaused(reservation.server);
 }
 
 std::optional<std::size_t> LoadBalancer::Choose(
@@ -145,12 +146,16 @@
   if (*outcome == ServerOutcome::kServed && !was_queued) {
     this->UpdateServiceTime(reservation);
   }
+  if (*outcome == ServerOutcome::kServed) {
+    RecordEvents(this->own_rates[reservation.service], 1, this->context.Now());
+  }
   this->UpdatePath(state, *outcome);
   this->on_report({reservation.server, *outcome, total});
 }
 
 void LoadBalancer::ReportOutcome(const ServerReservation& reservation,
                                  ServerOutcome outcome) {
+  RecordEvents(this->own_rates[reservation.service], 1, this->context.Now());
   this->on_report({reservation.server, outcome, -1});
 }
 
@@ -190,6 +195,10 @@
         RecordEvents(this->attempt_rates[service], static_cast<double>(count),
                      now);
       }
+      if (outcome == ServerOutcome::kShed) {
+        RecordEvents(this->shed_rates[service], static_cast<double>(count),
+                     now);
+      }
       if (outcome == ServerOutcome::kServed) {
         RecordEvents(this->served_rates[service], static_cast<double>(count),
                      now);
@@ -273,7 +282,7 @@
   const TimePoint now = this->context.Now();
   if (!MayReceiveRequests(this->discovery.roster(), entry) ||
       criteria.tried_servers.contains(server) ||
-      now < this->StateOf(server).misdirected_until) {
+      now < this->StateOf(server).misdirected_until || this->IsPaused(server)) {
     return false;
   }
   return now >= entry.cold_until ||
--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/service_capacity.h"
 #include "base/rate_meter.h"
 #include "dissemination/outcome_summary.h"
 #include "gateway/gateway_context.h"
@@ -79,6 +80,7 @@
 
   // Reports that a request for the service was not served successfully.
   void ReportFailedRequest(const std::string& service) {
+    RecordEvents(this->own_rates[service], 1, this->context.Now());
     this->on_failed_request(service);
   }
 
@@ -86,6 +88,9 @@
   // address.
   void MarkMisdirected(const ServerReservation& reservation);
 
+  // Excludes the server for the time that it asked for when it shed a request.
+  void PauseServer(const ServerReservation& reservation, Duration pause);
+
   // Excludes the server for good, since it has stated that it leaves.
   void MarkLeaving(const ServerReservation& reservation) {
     this->discovery.MarkLeaving(reservation.server, reservation.address);
@@ -97,6 +102,9 @@
   // Discards the estimates of a server that is new or has restarted.
   void ResetServer(const std::string& server);
 
+  // Returns what the servers of the service can take now.
+  ServiceCapacity EstimateCapacity(const std::string& service) const;
+
   // Returns the expected time in which a server processes a request of the
   // service, without queueing.
   Duration ExpectedServiceTime(const std::string& service) const;
@@ -121,12 +129,15 @@
     // When any instance last observed an outcome, or this one sent a request.
     TimePoint used_at;
     TimePoint misdirected_until;
+    TimePoint paused_until;  // as the server asked for
   };
 
   ServerState& StateOf(const std::string& server);
+  bool IsPaused(const std::string& server) const;
   PlacementCandidate ToCandidate(const std::string& server,
                                  const ServerSelectionCriteria& criteria);
   double CurrentLoad(const ServerState& state) const;
+  double ReportedLoadOf(const ServerState& state) const;
   double UtilizationOf(const ServerState& state,
                        const RosterEntry& entry) const;
   double CombinedFailureProbability(const ServerState& state) const;
@@ -157,6 +168,9 @@
   std::map<std::string, RateMeter> attempt_rates;          // by service
   std::map<std::string, RateMeter> served_rates;           // by service
   std::map<std::string, RateMeter> failed_request_rates;   // by service
+  std::map<std::string, RateMeter> shed_rates;             // by service
+  // Requests of this instance that were completed or failed, by service.
+  std::map<std::string, RateMeter> own_rates;
 };
 
 }  // namespace parsleyquay
--- a/libraries/gateway/proxied_request.cc
+++ b/libraries/gateway/proxied_request.cc
@@ -36,7 +36,8 @@
 // clients that get errors at the same time do not retry at the same time.
 constexpr double kRetryAfterJitter = 0.5;
 
-// Returns the size of the request line and the headers.
+}  // namespace
+
 std::size_t HeadBytes(const ServerExchange& exchange) {
   std::size_t bytes = exchange.method().size() + exchange.target().size();
   for (const Header& header : exchange.headers()) {
@@ -45,8 +46,6 @@
   return bytes;
 }
 
-}  // namespace
-
 ProxiedRequest::ProxiedRequest(RequestDependencies dependencies,
                                std::shared_ptr<ServerExchange> exchange)
     : dependencies(dependencies),
@@ -156,6 +155,10 @@
   }
   this->deadline = std::min(this->deadline, *this->context.drain_deadline);
   this->StartTimer();
+  if (this->admission_id != 0) {
+    this->dependencies.admission.SetDeadline(this->service, this->admission_id,
+                                             this->AdmissionDeadline());
+  }
 }
 
 // Returns whether the request may still be sent to a server, if a graceful
@@ -260,6 +263,14 @@
   if (this->RejectIfLeaving()) {
     return;
   }
+  if (this->is_subject_to_admission()) {
+    this->RequestAdmission();
+    return;
+  }
+  this->SendToAvailableServer();
+}
+
+void ProxiedRequest::SendToAvailableServer() {
   const auto reservation =
       this->dependencies.load_balancer.Acquire(this->MakeSelectionCriteria());
   if (reservation) {
@@ -335,6 +346,7 @@
 void ProxiedRequest::Close(std::string_view outcome, int status) {
   const auto keep_alive = std::move(this->self);
   this->is_closed = true;
+  this->CancelAdmission();
   this->timer.Stop();
   this->exchange->SetHandlers({});
   const Duration elapsed = this->context.Now() - this->started_at;
--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/admission_controller.h"
 #include "gateway/error_response.h"
 #include "gateway/gateway_context.h"
 #include "gateway/load_balancer.h"
@@ -24,6 +25,7 @@
   WorkspaceRateLimiter& rate_limiter;
   LoadBalancer& load_balancer;
   std::map<std::string, FleetRetryBudget>& retry_budgets;  // by service
+  AdmissionController& admission;
 
   FleetRetryLimit retry_limit() const {
     const FleetBounds& bounds = this->context.settings.bounds;
@@ -36,6 +38,13 @@
     return {RankOfMember(this->context.members, this->context.settings.name),
             this->context.member_count()};
   }
+
+  // Returns whether the budget permits a retry to the service now.
+  bool CanSpendRetry(const std::string& service) const {
+    return parsleyquay::CanSpendRetry(
+        this->retry_budgets[service], this->retry_limit(),
+        this->instance_rank(), this->context.Now());
+  }
 };
 
 // One client request that is proxied to a backend server. It is validated,
@@ -86,6 +95,14 @@
   bool RejectIfLeaving();
   ServerSelectionCriteria MakeSelectionCriteria() const;
   void SendToAnyServer();
+  void SendToAvailableServer();
+  bool is_subject_to_admission() const;
+  AdmissionRequest MakeAdmissionRequest() const;
+  TimePoint AdmissionDeadline() const;
+  void RequestAdmission();
+  void OnAdmitted();
+  void OnNotAdmitted(Duration retry_after);
+  void CancelAdmission();
   void Send(ServerReservation reservation);
   CallRequest MakeCall() const;
   BodyChunk ReadBody(char* buffer, std::size_t capacity);
@@ -98,6 +115,7 @@
   void OnDataOfFailedResponse(std::string_view data);
   void OnDone(const CallResult& result);
   void EndAttempt(AttemptResult attempt_result);
+  void PauseServerIfAsked();
   void ReleaseServer(std::optional<ServerOutcome> outcome);
   std::optional<ServerOutcome> OutcomeOf(AttemptResult attempt_result) const;
   NextStep ChooseStep(AttemptResult attempt_result);
@@ -136,6 +154,10 @@
   std::set<std::string> tried;        // servers
   std::size_t unreachable_count = 0;  // of the tried servers
   bool may_have_executed = false;
+  // A server has shed the request, and the retry budget has not been spent yet
+  // on the next attempt.
+  bool owes_retry = false;
+  std::uint64_t admission_id = 0;  // not 0 while the request waits
   bool has_response_started = false;
   bool is_closed = false;
   RateLimitSource rate_limit_source = RateLimitSource::kNoLimit;
@@ -145,6 +167,9 @@
   std::shared_ptr<ProxiedRequest> self;
 };
 
+// Returns the size of the request line and the headers.
+std::size_t HeadBytes(const ServerExchange& exchange);
+
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_GATEWAY_PROXIED_REQUEST_H_
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -166,6 +166,7 @@
   if (this->attempt.status == kMisdirectedStatus) {
     this->dependencies.load_balancer.MarkMisdirected(this->attempt.reservation);
   }
+  this->PauseServerIfAsked();
   const bool is_not_executed = attempt_result == AttemptResult::kShed ||
                                attempt_result == AttemptResult::kNeverSent;
   this->may_have_executed = this->may_have_executed || !is_not_executed;
@@ -220,9 +221,14 @@
       .attempts = static_cast<long>(this->tried.size()) - 1,
       .time_left = this->time_left()};
   const NextStep step = ChooseNextStep(attempt_result, attempt_context);
+  // A shed request may wait before it is sent again.
+  this->owes_retry = step == NextStep::kRetry &&
+                     attempt_result == AttemptResult::kShed &&
+                     this->dependencies.admission.is_enabled();
   // An attempt at an unreachable server sent no request, so that the next one
   // is not a retry.
-  if (step == NextStep::kRetry && attempt_result != AttemptResult::kNeverSent) {
+  if (step == NextStep::kRetry && !this->owes_retry &&
+      attempt_result != AttemptResult::kNeverSent) {
     SpendRetry(this->dependencies.retry_budgets[this->service],
                this->dependencies.retry_limit(),
                this->dependencies.instance_rank(), this->context.Now());
@@ -246,10 +252,11 @@
   }
   const auto reached_count =
       static_cast<long>(tried_servers - this->unreachable_count);
+  const bool may_wait_for_budget = attempt_result == AttemptResult::kShed &&
+                                   this->dependencies.admission.is_enabled();
   return reached_count < std::max(1L, this->route().max_servers) &&
-         CanSpendRetry(this->dependencies.retry_budgets[this->service],
-                       this->dependencies.retry_limit(),
-                       this->dependencies.instance_rank(), this->context.Now());
+         (may_wait_for_budget ||
+          this->dependencies.CanSpendRetry(this->service));
 }
 
 void ProxiedRequest::ExecuteStep(AttemptResult attempt_result, NextStep step) {
--- a/libraries/gateway/proxied_request_response.cc
+++ b/libraries/gateway/proxied_request_response.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gateway/proxied_request.h"
+#include "gateway/retry_after.h"
 
 namespace parsleyquay {
 
@@ -101,6 +102,21 @@
   this->attempt.failure_reason = reason;
 }
 
+// A server that sheds may state for how long it wants no further requests.
+void ProxiedRequest::PauseServerIfAsked() {
+  if (this->attempt.status != kServiceUnavailableStatus ||
+      this->attempt.failure == AttemptResult::kMismatchedResponse) {
+    return;
+  }
+  const auto pause = ParseDelaySeconds(
+      HeaderValueOrEmpty(this->attempt.headers, "Retry-After"));
+  if (pause) {
+    this->dependencies.load_balancer.PauseServer(this->attempt.reservation,
+                                                 *pause);
+    this->dependencies.admission.OnPause(this->service);
+  }
+}
+
 bool ProxiedRequest::OnData(std::string_view data) {
   this->attempt.has_received_data = true;
   if (this->has_response_started) {
--- a/libraries/operations/explain_request.cc
+++ b/libraries/operations/explain_request.cc
@@ -92,6 +92,10 @@
     return response + "No server of service " + FieldValue(request, "service") +
            " became available in time.";
   }
+  if (outcome == "overloaded") {
+    return response + "Service " + FieldValue(request, "service") +
+           " was overloaded, and the request would have waited too long.";
+  }
   return response + (last_attempt ? DescribeAttempt(*last_attempt)
                                   : "It was not sent to any server.");
 }
--- a/tests/gateway/settings_template_test.cc
+++ b/tests/gateway/settings_template_test.cc
@@ -118,6 +118,19 @@
   CHECK(absent.settings.process_limits == ProcessLimits{});
 }
 
+TEST_CASE("the section of admission control is optional") {
+  CHECK(ParseRendered({}).settings.admission ==
+        AdmissionLimits{.max_waiting = 256, .max_waiting_bytes = 8'000'000});
+  const std::string text = Render(ReadTemplate(), CommonFields());
+  const std::size_t section = text.find("[admission]");
+  REQUIRE(section != std::string::npos);
+  const ParsedGatewaySettings without =
+      ParseGatewaySettings(text.substr(0, section));
+  CHECK(without.problems.empty());
+  CHECK(without.settings.admission == AdmissionLimits{});
+  CHECK(ParseGatewaySettings(text + "unknown = 1\n").problems.size() == 1);
+}
+
 TEST_CASE("a bound that is stated is applied") {
   const FleetBounds bounds = ParseRendered(AllBounds()).settings.bounds;
   CHECK(bounds.address_lifetime == seconds(4));
