--- a/libraries/rate_limiting/token_reserve.cc
+++ b/libraries/rate_limiting/token_reserve.cc
@@ -15,6 +15,11 @@
 // every priority after a pause.
 constexpr double kMaxReservedBurstFraction = 0.5;
 
+constexpr int kHighestPriority = 0;
+
+// A lower rate of requests of the highest priority, per second, counts as none.
+constexpr double kMinRate = 0.1;
+
 }  // namespace
 
 void RecordTokenRequest(TokenDemand& demand, int priority, TimePoint now) {
@@ -32,7 +37,10 @@
                              return sum + RateAt(entry.second, now);
                            });
   };
-  if (rate_until(requests.end()) <= configuration.requests_per_second) {
+  const bool asks_highest_priority =
+      rate_until(requests.upper_bound(kHighestPriority)) >= kMinRate;
+  if (!asks_highest_priority ||
+      rate_until(requests.end()) <= configuration.requests_per_second) {
     return 0;
   }
   const auto end = requests.lower_bound(priority);
--- a/libraries/rate_limiting/token_reserve.h
+++ b/libraries/rate_limiting/token_reserve.h
@@ -21,7 +21,8 @@
 // Returns how many tokens a request of the given priority has to leave in the
 // workspace's bucket for requests of higher priority. This is their demand in
 // one second, but no more than half of the burst for the lowest priority, and
-// in equal steps less for each higher one. It is 0 while the rate limit
+// in equal steps less for each higher one. Only a workspace that sends requests
+// of the highest priority, 0, has a reserve. It is 0 while the rate limit
 // covers the whole demand, and once no request of higher priority has arrived
 // for a few seconds, so that no token stays unused.
 double TokenReserve(const TokenDemand& demand,
--- a/tests/rate_limiting/token_reserve_test.cc
+++ b/tests/rate_limiting/token_reserve_test.cc
@@ -79,6 +79,12 @@
   CHECK(PlayLoad({{kDownloads, 200}}, true).at(kDownloads) > 0.49);
 }
 
+// Guards against a change for workspaces whose routes have no priority 0.
+TEST_CASE("nothing is reserved without requests of the highest priority") {
+  const Load load = {{kOrders, 100}, {kDownloads, 200}};
+  CHECK(PlayLoad(load, true) == PlayLoad(load, false));
+}
+
 TEST_CASE("nothing is reserved while the rate covers the whole demand") {
   TokenDemand demand;
   for (int i = 0; i < 80; ++i) {
