gateway, tests: Follow the linter

clang-tidy cannot read std::views::iota in two places (clang 14 with this libstdc++), and names of non-constexpr constants are in lower case. No behaviour changes.

--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -103,13 +102,15 @@
 }
 
 std::uint64_t WorkspaceRateLimiter::CountShardsWithoutOwner() const {
-  const auto shards = std::views::iota(
-      0L, std::max(0L, this->context.coordination.shard_group.shard_count));
-  return static_cast<std::uint64_t>(
-      std::ranges::count_if(shards, [this](long shard) {
-        return !IsAssigned(this->ownership, shard, this->context.Now()) &&
-               !this->OwnerAddressOf(shard);
-      }));
+  std::uint64_t count = 0;
+  for (long shard = 0;
+       shard < this->context.coordination.shard_group.shard_count; ++shard) {
+    const bool has_owner =
+        IsAssigned(this->ownership, shard, this->context.Now()) ||
+        this->OwnerAddressOf(shard);
+    count += has_owner ? 0 : 1;
+  }
+  return count;
 }
 
 void WorkspaceRateLimiter::OnConfigurationChange() {
--- a/tests/gateway/invalid_status_test.cc
+++ b/tests/gateway/invalid_status_test.cc
@@ -12,7 +12,7 @@
 
 constexpr int kBadGatewayStatus = 502;
 
-const std::vector<std::string> kInvalidStatuses = {
+const std::vector<std::string> invalid_statuses = {
     "000",  "001",  "099", "1000", "0200", "2000", "20", "2",   "",
     "-200", "+200", "-20", "+20",  "2x0",  "0x2",  "OK", "2 0", " 200"};
 
@@ -48,7 +48,7 @@
       GENERATE(Request{"GET", "/safe/1", ""}, Request{"POST", "/once/1", "x"});
   const bool is_interim = GENERATE(false, true);
   const bool is_on_kept_connection = GENERATE(false, true);
-  for (const std::string& status : kInvalidStatuses) {
+  for (const std::string& status : invalid_statuses) {
     INFO(request.method << (is_interim ? ", interim" : ", final")
                         << (is_on_kept_connection ? ", kept" : ", new")
                         << ", status '" << status << "'");
--- a/tests/platform/store_faults_test.cc
+++ b/tests/platform/store_faults_test.cc
@@ -324,8 +324,9 @@
   std::optional<ShardAssignment> after;
   const auto renew = [&](std::optional<ShardAssignment>& assignment) {
     fixture.coordination.shard_group.renew(
-        "a", seconds(2), 0,
-        [&](std::optional<ShardAssignment> got) { assignment = got; });
+        "a", seconds(2), 0, [&](std::optional<ShardAssignment> got) {
+          assignment = std::move(got);
+        });
     REQUIRE(fixture.Await([&] { return assignment.has_value(); }));
   };
   fixture.coordination.read_fleet_records(
--- a/tests/rate_limiting/shard_ownership_search_test.cc
+++ b/tests/rate_limiting/shard_ownership_search_test.cc
@@ -8,7 +8,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <ranges>
 
 #include "dissemination/member_table.h"
 #include "rate_limiting/shard_ownership.h"
@@ -219,9 +218,11 @@
 // Returns in how many of the schedules something was observed.
 long CountSchedules(const std::function<bool(const Observation&)>& is_counted) {
   constexpr unsigned kSeeds = 500;
-  const auto seeds = std::views::iota(1U, kSeeds + 1);
-  return std::ranges::count_if(
-      seeds, [&](unsigned seed) { return is_counted(Schedule(seed).Run()); });
+  long count = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    count += is_counted(Schedule(seed).Run()) ? 1 : 0;
+  }
+  return count;
 }
 
 TEST_CASE("a shard has one granting owner, known to all after faults") {
--- a/tests/rate_limiting/token_reserve_test.cc
+++ b/tests/rate_limiting/token_reserve_test.cc
@@ -12,8 +12,8 @@
 constexpr int kReads = 0;
 constexpr int kOrders = 1;
 constexpr int kDownloads = 2;
-const WorkspaceConfiguration kWorkspace{.requests_per_second = 100,
-                                        .burst = 100};
+const WorkspaceConfiguration limited_workspace{.requests_per_second = 100,
+                                               .burst = 100};
 
 // Requests per second by priority.
 using Load = std::map<int, int>;
@@ -35,11 +35,13 @@
       }
       RecordTokenRequest(demand, priority, now);
       const double reserve =
-          has_priorities ? TokenReserve(demand, kWorkspace, priority, now) : 0;
+          has_priorities
+              ? TokenReserve(demand, limited_workspace, priority, now)
+              : 0;
       // Requests of low priority have more time to wait.
       const Duration max_wait = milliseconds(50 + 100 * priority);
       const bool is_granted =
-          ReserveToken(buckets, "w", kWorkspace, max_wait, now, reserve)
+          ReserveToken(buckets, "w", limited_workspace, max_wait, now, reserve)
               .is_granted;
       if (step >= 5'000) {
         asked[priority] += 1;
@@ -90,7 +92,7 @@
   for (int i = 0; i < 80; ++i) {
     RecordTokenRequest(demand, i % 2 == 0 ? kReads : kDownloads, kStart);
   }
-  CHECK(TokenReserve(demand, kWorkspace, kDownloads, kStart) == 0);
+  CHECK(TokenReserve(demand, limited_workspace, kDownloads, kStart) == 0);
 }
 
 TEST_CASE("no more than half of the burst is reserved") {
@@ -98,8 +100,8 @@
   for (int i = 0; i < 1'000; ++i) {
     RecordTokenRequest(demand, kReads, kStart);
   }
-  CHECK(TokenReserve(demand, kWorkspace, kDownloads, kStart) == 50);
-  CHECK(TokenReserve(demand, kWorkspace, kReads, kStart) == 0);
+  CHECK(TokenReserve(demand, limited_workspace, kDownloads, kStart) == 50);
+  CHECK(TokenReserve(demand, limited_workspace, kReads, kStart) == 0);
 }
 
 }  // namespace
--- a/tests/rollout/rollout_scenarios_test.cc
+++ b/tests/rollout/rollout_scenarios_test.cc
@@ -41,28 +41,30 @@
   return summary;
 }
 
-const SimulatedRollout kSmall = {.instances = 36,
-                                 .requests_per_second = 80,
-                                 .duration = seconds(12),
-                                 .servers = 3};
-const SimulatedRollout kManyInstances = {.instances = 120,
+const SimulatedRollout small_fleet = {.instances = 36,
+                                      .requests_per_second = 80,
+                                      .duration = seconds(12),
+                                      .servers = 3};
+const SimulatedRollout many_instances = {.instances = 120,
                                          .requests_per_second = 80,
                                          .duration = seconds(12),
                                          .servers = 6};
-const SimulatedRollout kLarge = {.instances = 36,
-                                 .requests_per_second = 500,
-                                 .duration = seconds(20),
-                                 .servers = 8};
+const SimulatedRollout large_fleet = {.instances = 36,
+                                      .requests_per_second = 500,
+                                      .duration = seconds(20),
+                                      .servers = 8};
 
 void CheckCompleted(const std::function<void(SimulatedRollout&)>& set_fault) {
-  for (const SimulatedRollout& fleet : {kSmall, kManyInstances, kLarge}) {
+  for (const SimulatedRollout& fleet :
+       {small_fleet, many_instances, large_fleet}) {
     // A server spell may look like a fault of the version in a rare run.
     CHECK(RunAll(fleet, set_fault).completed >= kRuns - 1);
   }
 }
 
 void CheckRolledBack(const std::function<void(SimulatedRollout&)>& set_fault) {
-  for (const SimulatedRollout& fleet : {kSmall, kManyInstances, kLarge}) {
+  for (const SimulatedRollout& fleet :
+       {small_fleet, many_instances, large_fleet}) {
     const Summary summary = RunAll(fleet, set_fault);
     CHECK(summary.rolled_back == kRuns);
     CHECK(summary.over_bound == 0);
@@ -114,7 +116,7 @@
 // Such a version may be found only while the requests move to it. Then its
 // exposure may exceed the bound, see docs/design/rollout.md.
 TEST_CASE("a version that is bad under load is rolled back") {
-  const Summary summary = RunAll(kLarge, [](SimulatedRollout& rollout) {
+  const Summary summary = RunAll(large_fleet, [](SimulatedRollout& rollout) {
     rollout.bad_share = 0.6;
     rollout.bad_above_load = 35;
   });
