tests, gateway: Fold what the merged parts repeated

The status 421 stood in both halves of a split file, and two includes were left over from another split.

--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -19,6 +19,9 @@
 
 namespace parsleyquay {
 
+// A server has received a request that expects another server at its address.
+constexpr int kMisdirectedStatus = 421;
+
 // The components of the instance that a request uses.
 struct RequestDependencies {
   GatewayContext& context;
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -24,7 +24,6 @@
 // done.
 constexpr Duration kShedRetryAfter = milliseconds(100);
 
-constexpr int kMisdirectedStatus = 421;
 constexpr int kGatewayTimeoutStatus = 504;
 
 std::string_view AttemptResultName(AttemptResult attempt_result) {
--- a/libraries/gateway/proxied_request_response.cc
+++ b/libraries/gateway/proxied_request_response.cc
@@ -22,7 +22,6 @@
 // Bodies of failed responses are short. The attempt is aborted at this size.
 constexpr std::size_t kMaxFailedResponseBytes = 64 * 1024;
 
-constexpr int kMisdirectedStatus = 421;
 constexpr int kFirstServerError = 500;
 constexpr int kServiceUnavailableStatus = 503;
 constexpr int kTooManyRequestsStatus = 429;
--- a/libraries/gateway/workspace_rate_limiter.cc
+++ b/libraries/gateway/workspace_rate_limiter.cc
@@ -1,8 +1,6 @@
 #include "gateway/workspace_rate_limiter.h"
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 #include <utility>
 
 #include "base/rendezvous.h"
