tests: Make three servers fail in the test of the minimum in use

With four of eight servers failing 60 % of their requests, the rate of the others times the margin of 1.5 is close to the rate of the one that is judged, and the score needs about as many requests as the longest window holds.

--- a/tests/promises/servers_test.cc
+++ b/tests/promises/servers_test.cc
@@ -72,7 +72,9 @@
   REQUIRE(fleet.Start());
   LoadGenerator warm = MakeLoad(fleet, 150);
   warm.Run(seconds(2));
-  for (const int server : {0, 1, 2, 3}) {
+  // One more than may be ejected. If half of the servers failed, the detector
+  // might attribute the fault to the whole service and eject none.
+  for (const int server : {0, 1, 2}) {
     fleet.SetServerFault("server=" + std::to_string(server) +
                          "&fail_percent=60");
   }
