gateway: Forward removals of servers that the reader never listed

A reader of the server list that was paused reads only the newest record of each server. Removals are now always forwarded.

--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -310,11 +310,15 @@
 void ServerDiscovery::Apply(const ServerChange& change) {
   const TimePoint now = this->context.Now();
   const RosterEvent event = ApplyServerChange(this->server_roster, change, now);
-  if (event == RosterEvent::kNone) {
-    return;
+  if (event != RosterEvent::kNone) {
+    this->LogChange(change, event);
   }
-  this->LogChange(change, event);
-  if (event == RosterEvent::kStale) {
+  // A read returns only the newest record of a server, so this instance may see
+  // the removal of one whose listing it has never seen, but a peer has.
+  const bool has_to_be_forwarded =
+      event != RosterEvent::kStale &&
+      (event != RosterEvent::kNone || !change.listing);
+  if (!has_to_be_forwarded) {
     return;
   }
   if (this->sent_position) {
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -116,6 +116,28 @@
   CHECK_FALSE(fleet.peer.Lists("s-leaves"));
 }
 
+// Guards against requests to a server that was listed only between two reads of
+// the list's reader, from instances that had read its listing themselves.
+TEST_CASE("peers learn of the removal of a server that the reader never had") {
+  TwoInstances fleet;
+  fleet.StartReader({"s-stays", "s-leaves"});
+  fleet.SendDigest();
+  fleet.peer.feed.SetAvailable(true);
+  fleet.peer.feed.Append(Listed("s-short"));
+  REQUIRE(RunLoopUntil(
+      fleet.loop, [&] { return fleet.peer.Lists("s-short"); }, seconds(5)));
+  fleet.peer.feed.SetAvailable(false);
+  // The store keeps only the newest record of each server.
+  const FeedPosition before = fleet.reader.discovery->position();
+  fleet.reader.feed.Append({"s-short", std::nullopt});
+  fleet.reader.feed.Append({"s-short", std::nullopt});
+  REQUIRE(RunLoopUntil(
+      fleet.loop, [&] { return fleet.reader.discovery->position() > before; },
+      seconds(2)));
+  fleet.SendDigest();
+  CHECK_FALSE(fleet.peer.Lists("s-short"));
+}
+
 TEST_CASE("a full list that is older than the known one changes nothing") {
   TwoInstances fleet;
   Digest digest{.sender = "reader",
