gateway: Count a failed request for all services of its route

A route may send most of its requests to one service and few to another. Such a failure now counts for each service of the route.

--- a/libraries/gateway/load_balancer.cc
+++ b/libraries/gateway/load_balancer.cc
@@ -220,6 +220,16 @@
       this->context.Now() + kMisdirectedPause;
 }
 
+void LoadBalancer::ReportFailedRequest(const std::string& service,
+                                       const HostRoute& route) {
+  RecordEvents(this->own_rates[service], 1, this->context.Now());
+  std::set<std::string> services = {service};
+  for (const WeightedService& possible : route.services) {
+    services.insert(possible.service);
+  }
+  std::ranges::for_each(services, this->on_failed_request);
+}
+
 void LoadBalancer::ApplyOutcomes(const OutcomeSummary& outcomes) {
   const TimePoint now = this->context.Now();
   for (const auto& [service, count] : outcomes.failed_requests_by_service) {
--- a/libraries/gateway/load_balancer.h
+++ b/libraries/gateway/load_balancer.h
@@ -84,11 +84,11 @@
   void ReportOutcome(const ServerReservation& reservation,
                      ServerOutcome outcome);
 
-  // Reports that a request for the service was not served successfully.
-  void ReportFailedRequest(const std::string& service) {
-    RecordEvents(this->own_rates[service], 1, this->context.Now());
-    this->on_failed_request(service);
-  }
+  // Reports that a request of the route, for which `service` was chosen, was
+  // not served successfully. The failure counts for all services of the route:
+  // the minimum server coverage of each applies while the route's requests
+  // fail.
+  void ReportFailedRequest(const std::string& service, const HostRoute& route);
 
   // Excludes the server for a short time, since another server responded at its
   // address.
--- a/libraries/gateway/proxied_request.cc
+++ b/libraries/gateway/proxied_request.cc
@@ -388,7 +388,8 @@
   const bool counts_for_service =
       !this->service.empty() && outcome != "caller_gone";
   if (counts_for_service && outcome != "served") {
-    this->dependencies.load_balancer.ReportFailedRequest(this->service);
+    this->dependencies.load_balancer.ReportFailedRequest(this->service,
+                                                         this->route());
   }
   IncrementCounter(this->context.metrics,
                    "requests{outcome=\"" + std::string(outcome) + "\"}");
