--- a/tests/support/gateway_processes.cc
+++ b/tests/support/gateway_processes.cc
@@ -55,6 +55,7 @@
   gateway.request_address = FreeAddress();
   gateway.readiness_address = FreeAddress();
   gateway.directory_address = FreeAddress();
+  gateway.metrics_address = FreeAddress();
   gateway.settings_file = this->work_directory / (gateway.name + ".ini");
   std::ofstream file(gateway.settings_file);
   file << "[instance]\nname = " << gateway.name << "\nfailure_domain = x\n"
@@ -62,7 +63,8 @@
        << "[listen]\nrequests = " << gateway.request_address
        << "\nreadiness = " << gateway.readiness_address
        << "\ndirectory = " << gateway.directory_address
-       << "\npeers = " << FreeAddress() << "\nmetrics = " << FreeAddress()
+       << "\npeers = " << FreeAddress()
+       << "\nmetrics = " << gateway.metrics_address
        << "\n[store]\naddress = " << this->StoreAddress(gateway, index)
        << "\nduty_count = 12\nshortest_lease = 1000ms\n"
           "[bounds]\ngrace = 4s\naddress_lifetime = 5s\nretry_ratio = 0.2\n"
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -80,6 +80,12 @@
   const std::string& readiness_address(int gateway) const {
     return this->gateways[static_cast<std::size_t>(gateway)].readiness_address;
   }
+  const std::string& directory_address(int gateway) const {
+    return this->gateways[static_cast<std::size_t>(gateway)].directory_address;
+  }
+  const std::string& metrics_address(int gateway) const {
+    return this->gateways[static_cast<std::size_t>(gateway)].metrics_address;
+  }
 
   bool Await(const std::function<bool()>& condition,
              Duration timeout = seconds(10));
@@ -94,6 +100,7 @@
     std::string request_address;
     std::string readiness_address;
     std::string directory_address;
+    std::string metrics_address;
     std::string settings_file;
     std::unique_ptr<TcpRelay> store_relay;
     std::unique_ptr<ChildProcess> process;
