http: Notice clients that disconnect behind pipelined requests

A request that waited for a server watched its client's socket for readability, and gave up as soon as there was data: a client that pipelined a request and then closed its connection was not noticed, and its request went on at the server until its deadline. DisconnectMonitor watches for the end of the connection instead, with one epoll set (one descriptor) for each listening address. Unread data stays where it is.

A client that shuts down its sending direction behind pipelined requests now counts as disconnected, as one without them did already.

client_disconnects, on the code of with ~HttpServer patched not to abort: 4 of the 8 variants of "after pipelined requests" failed, all those that send them while the first one waits (110 of 114 assertions passed); unpatched, the first failure aborted the process. With this change all passed, as did plumbing, gateway_proxying, foreign_bytes and silent_connections.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -26,6 +26,7 @@
     : event_loop(loop),
       handler(std::move(handler)),
       client_budget(budget),
+      monitor(loop),
       watcher(loop, [this](int) { this->RunDaemon(); }),
       timer(loop, [this] { this->RunDaemon(); }) {}
 
@@ -50,6 +51,7 @@
 
 Result<void> HttpServer::Start(const std::string& address) {
   BOOST_LEAF_AUTO(socket_address, ParseSocketAddress(address));
+  BOOST_LEAF_CHECK(this->monitor.Start());
   this->daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, &HttpServer::OnAccept, this,
       &HttpServer::OnAccess, this, MHD_OPTION_SOCK_ADDR, &socket_address,
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -12,6 +12,7 @@
 #include "event/io_watcher.h"
 #include "event/timer.h"
 #include "http/client_budget.h"
+#include "http/disconnect_monitor.h"
 #include "http/server_exchange.h"
 
 namespace parsleyquay {
@@ -35,6 +36,8 @@
 
   EventLoop& loop() { return this->event_loop; }
   ClientBudget* budget() { return this->client_budget; }
+  // Watches the clients of suspended connections.
+  DisconnectMonitor& disconnect_monitor() { return this->monitor; }
   // The number of requests that have not been completed.
   std::size_t open_exchanges() const { return this->exchange_count; }
 
@@ -80,6 +83,7 @@
   EventLoop& event_loop;
   Handler handler;
   ClientBudget* client_budget = nullptr;
+  DisconnectMonitor monitor;
   MHD_Daemon* daemon = nullptr;
   IoWatcher watcher;
   Timer timer;
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -1,7 +1,5 @@
 #include "http/server_exchange.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cstring>
 #include <utility>
@@ -48,9 +46,7 @@
       client(client),
       request_method(std::move(method)),
       request_target(std::move(target)),
-      request_version(std::move(version)),
-      disconnect_watcher(server.loop(),
-                         [this](int) { this->OnSocketReadable(); }) {
+      request_version(std::move(version)) {
   MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
                             &this->request_headers);
   if (this->client) {
@@ -277,7 +273,7 @@
                              !this->is_response_complete ||
                              !this->response_buffer.empty();
   this->is_connection_closed = true;
-  this->disconnect_watcher.Stop();
+  this->server.disconnect_monitor().Remove(this->Socket());
   if (is_incomplete && this->handlers.on_closed) {
     this->handlers.on_closed();
   }
@@ -297,11 +293,9 @@
   this->is_suspended = true;
   this->UpdateCharge();
   MHD_suspend_connection(this->connection);
-  // NOTE: libmicrohttpd does not watch the socket of a suspended connection,
-  // so this watcher detects a client that disconnects.
-  const auto* info = MHD_get_connection_info(this->connection,
-                                             MHD_CONNECTION_INFO_CONNECTION_FD);
-  this->disconnect_watcher.Start(info->connect_fd, EV_READ);
+  // NOTE: libmicrohttpd does not watch the socket of a suspended connection.
+  this->server.disconnect_monitor().Add(this->Socket(),
+                                        [this] { this->OnConnectionLost(); });
 }
 
 void ServerExchange::Resume() {
@@ -311,31 +305,18 @@
   this->is_suspended = false;
   this->UpdateCharge();
   this->NoteProgress();  // The client is only waited for from now on.
-  this->disconnect_watcher.Stop();
+  this->server.disconnect_monitor().Remove(this->Socket());
   MHD_resume_connection(this->connection);
   this->server.ScheduleRun();
 }
 
-void ServerExchange::OnSocketReadable() {
-  const auto* info = MHD_get_connection_info(this->connection,
-                                             MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte = 0;
-  const ssize_t size =
-      recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  const bool has_data = size > 0;
-  const bool must_wait = size < 0 && (errno == EAGAIN || errno == EINTR);
-  if (must_wait) {
-    return;
-  }
-  this->disconnect_watcher.Stop();
-  if (has_data) {
-    return;  // The client has sent more data, such as its next request.
-  }
-  this->OnConnectionLost();
+int ServerExchange::Socket() const {
+  return MHD_get_connection_info(this->connection,
+                                 MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
 }
 
 void ServerExchange::OnConnectionLost() {
-  this->disconnect_watcher.Stop();
   this->is_aborted = true;
   const auto on_closed = std::move(this->handlers.on_closed);
   this->handlers = {};
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -10,7 +10,6 @@
 #include <string>
 #include <string_view>
 
-#include "event/io_watcher.h"
 #include "http/header_list.h"
 
 namespace parsleyquay {
@@ -114,7 +113,7 @@
   void OnCompleted();
   void Suspend();
   void Resume();
-  void OnSocketReadable();
+  int Socket() const;
 
   HttpServer& server;
   MHD_Connection* connection;
@@ -124,7 +123,6 @@
   std::string request_version;
   HeaderList request_headers;
   ExchangeHandlers handlers;
-  IoWatcher disconnect_watcher;
 
   std::string request_buffer;
   bool is_upload_complete = false;
