--- /dev/null
+++ b/tests/promises/client_connections_test.cc
@@ -0,0 +1,250 @@
+// Tests of gateway processes: the timeouts of clients, the rejection of
+// requests while memory is exhausted, and termination while clients are
+// connected.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "support/configuration_text.h"
+#include "support/gateway_processes.h"
+#include "support/raw_connection.h"
+#include "support/scripted_fixtures.h"
+
+namespace parsleyquay {
+namespace {
+
+// Returns a configuration with the timeouts of clients and of routes.
+std::string ConfigurationWith(const std::string& header_timeout,
+                              const std::string& idle_timeout,
+                              const std::string& route_timeout = "1500ms") {
+  std::string text = ConfigurationText(1, {{"shop", R"("shop-key")"}});
+  const std::string timeout = "1500ms";
+  for (std::size_t at = text.find(timeout); at != std::string::npos;
+       at = text.find(timeout, at + 1)) {
+    text.replace(at, timeout.size(), route_timeout);
+  }
+  text.insert(text.rfind(']'),
+              R"(,{"resource_kind":"limits","metadata":{},"spec":{)"
+              R"("header_timeout":")" +
+                  header_timeout + R"(","idle_timeout":")" + idle_timeout +
+                  R"("}})");
+  return text;
+}
+
+// Returns the request line and the first headers.
+std::string HeadFor(const std::string& method,
+                    const std::string& target,
+                    const std::string& id,
+                    int deadline_ms = 1'500) {
+  return method + " " + target +
+         " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
+         "\r\nRequest-Deadline: " + std::to_string(deadline_ms) +
+         "\r\nAuthorization: Bearer shop-key\r\n";
+}
+
+struct OneGateway : GatewayProcesses {
+  OneGateway(const std::string& configuration,
+             ScriptedServer::Script script,
+             const std::string& limits = "")
+      : GatewayProcesses(1, false, limits) {
+    REQUIRE(this->Start(configuration));
+    this->AddServer("s-1", std::move(script));
+    REQUIRE(this->Await(
+        [&] { return this->Send(0, "GET", "/safe/1").status == 200; }));
+  }
+
+  Duration ElapsedSince(TimePoint began) {
+    this->RunFor(milliseconds(1));  // updates the loop's time
+    return this->loop.Now() - began;
+  }
+
+  bool LogHas(const std::string& text) {
+    return this->Log(0).find(text) != std::string::npos;
+  }
+};
+
+// Responds at once to "r-1", the request of GatewayProcesses::Send().
+ScriptedServer::Script RespondsOnlyToProbes() {
+  return [](const RawRequest& request) {
+    return RawHeader(request.head, "Request-Id") == "r-1"
+               ? RawResponse{SignedOkResponse(request, "fine")}
+               : RawResponse{};
+  };
+}
+
+TEST_CASE("a client that is slow with its headers is disconnected") {
+  OneGateway gateway(ConfigurationWith("1s", "60s"), Good());
+  RawConnection idle(gateway.request_address(0));
+  const std::string address = GENERATE(true, false)
+                                  ? gateway.request_address(0)
+                                  : gateway.readiness_address(0);
+  const TimePoint began = gateway.loop.Now();
+  RawConnection slow(address);
+  REQUIRE(slow.Send("GET /safe/1 HTTP/1.1\r\nHost: a.example\r\nX-Long: "));
+  // Each byte is progress, so that the other timeout does not apply.
+  CHECK(gateway.Await(
+      [&] {
+        gateway.RunFor(milliseconds(50));
+        slow.Send("h");
+        return slow.HasEnded();
+      },
+      seconds(20)));
+  CHECK(gateway.ElapsedSince(began) >= seconds(1));
+  CHECK(slow.Receive().empty());
+  CHECK_FALSE(idle.HasEnded());
+  CHECK(gateway.Await([&] { return gateway.LogHas("reason=timeout"); }));
+  CHECK(gateway.Send(0, "GET", "/safe/1").status == 200);
+}
+
+TEST_CASE("a client without progress is disconnected") {
+  OneGateway gateway(ConfigurationWith("60s", "1s"), Good());
+  const auto [name, bytes, is_answered] =
+      GENERATE(table<std::string, std::string, bool>(
+          {{"nothing sent", "", false},
+           {"headers stop", "GET /safe/1 HTTP/1.1\r\nHost: a.exa", false},
+           {"body stops",
+            HeadFor("POST", "/once/1", "r-2") +
+                "Content-Length: 100\r\n\r\nbody",
+            false},
+           {"after a response", HeadFor("GET", "/safe/1", "r-2") + "\r\n",
+            true}}));
+  INFO(name);
+  const TimePoint began = gateway.loop.Now();
+  RawConnection client(gateway.request_address(0));
+  REQUIRE(client.Send(bytes));
+  CHECK(gateway.Await([&] { return client.HasEnded(); }, seconds(20)));
+  CHECK(gateway.ElapsedSince(began) >= seconds(1));
+  CHECK(client.Receive().starts_with("HTTP/1.1 200") == is_answered);
+  CHECK(gateway.Await([&] { return gateway.LogHas("reason=timeout"); }));
+  CHECK(gateway.Send(0, "GET", "/safe/1").status == 200);
+}
+
+// The server takes longer than the idle timeout.
+TEST_CASE("a client that waits for a server is not disconnected") {
+  OneGateway gateway(
+      ConfigurationWith("60s", "100ms", "10s"), [](const RawRequest& request) {
+        const bool is_probe = RawHeader(request.head, "Request-Id") == "r-1";
+        return RawResponse{.bytes = SignedOkResponse(request, "fine"),
+                           .delay = milliseconds(is_probe ? 0 : 1'500)};
+      });
+  RawConnection client(gateway.request_address(0));
+  REQUIRE(client.Send(HeadFor("POST", "/once/1", "r-2", 10'000) +
+                      "Content-Length: 4\r\n\r\nbody"));
+  CHECK(gateway.Await([&] { return !client.Receive().empty(); }));
+  CHECK(client.Receive().starts_with("HTTP/1.1 200"));
+}
+
+// While the process is stopped, more arrives than its memory allows, so that it
+// meets the last requests before it has closed any connection. Every other
+// client stops within its body, and so holds memory.
+TEST_CASE("requests are rejected as not executed while memory is exhausted") {
+  constexpr int kClients = 400;
+  OneGateway gateway(ConfigurationText(1, {{"shop", R"("shop-key")"}}),
+                     RespondsOnlyToProbes(), "memory = 64\n");
+  std::vector<RawConnection> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(gateway.request_address(0));
+  }
+  REQUIRE(gateway.Await([&] {
+    const std::string metrics =
+        gateway.Get(gateway.metrics_address(0), "/").body;
+    const std::string name = "client_connections ";
+    const std::size_t at = metrics.find(name);
+    return at != std::string::npos &&
+           std::stoi(metrics.substr(at + name.size())) >= kClients;
+  }));
+  gateway.process(0).Signal(SIGSTOP);
+  for (int i = 0; i < kClients; ++i) {
+    const bool is_complete = i % 2 == 1;
+    const std::string rest =
+        "X-Long: " + std::string(12'000, 'h') +
+        (is_complete
+             ? "\r\nContent-Length: 4\r\n\r\nbody"
+             : "\r\nContent-Length: 20001\r\n\r\n" + std::string(20'000, 'b'));
+    REQUIRE(clients[static_cast<std::size_t>(i)].Send(
+        HeadFor("POST", "/once/1", "m-" + std::to_string(i)) + rest));
+  }
+  gateway.process(0).Signal(SIGCONT);
+  CHECK(gateway.Await([&] {
+    return std::ranges::count_if(clients, [](RawConnection& client) {
+             return client.HasEnded() || !client.Receive().empty();
+           }) >= kClients / 2;
+  }));
+  gateway.RunFor(milliseconds(500));
+  std::set<std::string> rejected;
+  for (int i = 1; i < kClients; i += 2) {
+    const std::string& response =
+        clients[static_cast<std::size_t>(i)].Receive();
+    if (response.find("out_of_memory") != std::string::npos) {
+      CHECK(response.starts_with("HTTP/1.1 503"));
+      CHECK(response.find("Retry-After: ") != std::string::npos);
+      CHECK(response.find(R"("outcome":"not_run")") != std::string::npos);
+      rejected.insert("m-" + std::to_string(i));
+    }
+  }
+  INFO(rejected.size() << " rejected");
+  CHECK_FALSE(rejected.empty());
+  CHECK(rejected.size() < kClients / 2);
+  for (const RawRequest& request : gateway.server("s-1").requests()) {
+    CHECK_FALSE(rejected.contains(RawHeader(request.head, "Request-Id")));
+  }
+  clients.clear();
+  CHECK(gateway.Await(
+      [&] { return gateway.Send(0, "GET", "/safe/1").status == 200; }));
+}
+
+// Guards against an abort of the destructors while requests are held.
+TEST_CASE("an instance terminates properly while clients are connected") {
+  const bool is_paused = GENERATE(false, true);
+  INFO((is_paused ? "paused within the grace period" : "not paused"));
+  OneGateway gateway(
+      ConfigurationText(1, {{"shop", R"("shop-key")"}}),
+      [](const RawRequest& request) {
+        if (RawHeader(request.head, "Request-Id") == "r-1") {
+          return RawResponse{SignedOkResponse(request, "fine")};
+        }
+        std::string response =
+            SignedOkResponse(request, std::string(3'000'000, 'x'));
+        response.resize(request.head.starts_with("GET") ? 2'000'000 : 0);
+        return RawResponse{response};
+      });
+  const std::string body_of_100 = "Content-Length: 100\r\n\r\n";
+  const std::string address = gateway.request_address(0);
+  std::vector<RawConnection> clients;
+  const auto connect_all = [&] {
+    for (const std::string& bytes :
+         {std::string(), std::string("GET /safe/1 HTTP/1.1\r\nHo"),
+          HeadFor("POST", "/once/1", "r-2") + body_of_100 + "body",
+          HeadFor("POST", "/once/1", "r-3") + body_of_100 +
+              std::string(100, 'b') + HeadFor("GET", "/safe/1", "r-4") + "\r\n",
+          HeadFor("GET", "/safe/1", "r-5") + "\r\n"}) {
+      clients.emplace_back(address);
+      REQUIRE(clients.back().Send(bytes));
+    }
+  };
+  connect_all();
+  REQUIRE(gateway.Await(
+      [&] { return gateway.server("s-1").open_connections() >= 2; }));
+  gateway.process(0).Signal(SIGTERM);
+  REQUIRE(gateway.Await([&] { return gateway.LogHas("event=leaving"); }));
+  connect_all();
+  gateway.RunFor(milliseconds(200));
+  if (is_paused) {
+    gateway.process(0).Signal(SIGSTOP);
+    // The grace period is 4 s.
+    gateway.RunFor(seconds(4));
+    connect_all();
+    gateway.process(0).Signal(SIGCONT);
+  }
+  CHECK(gateway.Await([&] { return gateway.process(0).HasEnded(); }));
+  CHECK(gateway.process(0).exit_code() == 0);
+  CHECK(gateway.LogHas("event=stop"));
+}
+
+}  // namespace
+}  // namespace parsleyquay
