http: End suspended requests when a server is destroyed

MHD_stop_daemon() aborts the process while connections are suspended, that is while requests wait for a server. ~HttpServer ends them first, as if their clients had disconnected. In parsleyquay-entry the server is now destroyed before the retry budgets that its requests refer to.

Shown in the test process, where it hid which check had failed: client_disconnects aborted in daemon.c:7550. With this change "a gateway is destroyed while requests wait for a server" and the other cases passed (136 assertions, 4 cases).

--- a/libraries/entry/entry_instance.h
+++ b/libraries/entry/entry_instance.h
@@ -56,10 +56,10 @@
   RequestQueue queue;
   HealthCoordinator health;
   SystemEndpoints system_endpoints;
-  std::unique_ptr<HttpServer> server;
   RouteTable routes;
   Declaration routed_declaration;
   std::map<BurnKey, LocalRetryBudget> retry_budgets;
+  std::unique_ptr<HttpServer> server;  // its destructor ends the requests
   Timer tick_timer;
   Timer shutdown_timer;
   std::optional<TimePoint> stopped_listening_at;
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -32,6 +32,8 @@
 
 HttpServer::~HttpServer() {
   if (this->daemon) {
+    // libmicrohttpd aborts the process if connections are still suspended.
+    this->monitor.DisconnectAll();
     this->watcher.Stop();
     this->timer.Stop();
     MHD_stop_daemon(this->daemon);
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -32,6 +32,7 @@
       const std::string& address,
       Handler handler,
       ClientBudget* budget = nullptr);
+  // Ends all requests in progress, as if their clients had disconnected.
   ~HttpServer();
 
   EventLoop& loop() { return this->event_loop; }
--- a/tests/gateway/client_disconnect_test.cc
+++ b/tests/gateway/client_disconnect_test.cc
@@ -100,6 +100,27 @@
   CHECK(fixture.server.requests().size() == 1);
 }
 
+// Guards against an abort of libmicrohttpd, which would also hide the check
+// that failed in a test.
+TEST_CASE("a gateway is destroyed while requests wait for a server") {
+  const bool is_responding = GENERATE(false, true);
+  SlowServer fixture(is_responding ? PartOfResponse() : NoResponse());
+  RawConnection client(fixture.settings.request_address);
+  REQUIRE(client.Send(RequestText("GET", "/bulk/1", "r-1")));
+  RawConnection sending(fixture.settings.request_address);
+  REQUIRE(sending.Send(
+      RequestText("POST", "/once/1", "r-2", "Content-Length: 9\r\n\r\n") +
+      "body"));
+  REQUIRE(fixture.HasRequestAtServer());
+  if (is_responding) {
+    REQUIRE(fixture.Await([&] { return client.Receive().size() > 1'900'000; }));
+  }
+  fixture.gateway.reset();
+  CHECK(client.HasEnded());
+  CHECK(sending.HasEnded());
+  CHECK(fixture.EndsInTime());
+}
+
 // Guards against dropping what a client has sent in advance.
 TEST_CASE("pipelined requests are answered in order") {
   const bool sends_at_once = GENERATE(true, false);
