soak: Repeat the broken guarantees at the end of the output

Each BROKEN line is printed again with its seed in one block after the last seed, also if an exception ends the test, so that a cut log still names what failed.

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -51,7 +51,31 @@
   return text ? std::optional(std::stol(text)) : std::nullopt;
 }
 
-void PlaySeed(const RegressionSeed& played) {
+// The seeds that broke a guarantee, and how. The destructor prints them, so
+// that the end of the output names them also when an exception ends the test.
+class FailureSummary {
+ public:
+  FailureSummary() = default;
+  ~FailureSummary() {
+    for (const std::string& line : this->lines) {
+      std::cout << line << std::endl;
+    }
+  }
+  FailureSummary(const FailureSummary&) = delete;
+  FailureSummary& operator=(const FailureSummary&) = delete;
+
+  void Add(long seed, const std::vector<std::string>& violations) {
+    for (const std::string& violation : violations) {
+      this->lines.push_back("seed=" + std::to_string(seed) + " BROKEN " +
+                            violation);
+    }
+  }
+
+ private:
+  std::vector<std::string> lines;
+};
+
+void PlaySeed(const RegressionSeed& played, FailureSummary& summary) {
   const long length =
       FromEnvironment("PARSLEYQUAY_SECONDS").value_or(kDefaultSeconds);
   std::cout << "seed=" << played.seed << " seconds=" << length
@@ -65,6 +89,7 @@
     std::cout << "BROKEN " << violation << std::endl
               << run.LogLines(violation.substr(0, violation.find(' ')));
   }
+  summary.Add(played.seed, violations);
   const char* log_directory = std::getenv("PARSLEYQUAY_LOGS");
   if (log_directory && !violations.empty()) {
     run.KeepLogs(log_directory);
@@ -73,15 +98,18 @@
 }
 
 TEST_CASE("no promise is broken under faults") {
+  FailureSummary summary;
   const auto seed = FromEnvironment("PARSLEYQUAY_SEED");
   if (seed) {
-    PlaySeed({.seed = *seed});
+    PlaySeed({.seed = *seed}, summary);
     return;
   }
   const bool plays_all = FromEnvironment("PARSLEYQUAY_ALL_SEEDS").has_value();
   const std::size_t count =
       plays_all ? kRegressionSeeds.size() : kPlayedByDefault;
-  std::for_each_n(kRegressionSeeds.begin(), count, PlaySeed);
+  std::for_each_n(
+      kRegressionSeeds.begin(), count,
+      [&](const RegressionSeed& played) { PlaySeed(played, summary); });
 }
 
 }  // namespace
