gateway: Exchange retry credit with heartbeats and digests

With `pooled_budget = yes` in section [retries], RetryBudgets gives unused credit to the aggregator, which grants it to instances that report unmet need; digests name the services in need. Without it, the default, budgets work as before and no such message is sent. A retry that only the budget prevents is now recorded as need.

--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -248,6 +248,9 @@
   if (!digest.rollouts.empty()) {
     parameters["r"] = EncodeRolloutNews(digest.rollouts);
   }
+  if (digest.retry_credit) {
+    parameters["k"] = EncodeCreditNews(*digest.retry_credit);
+  }
   return parameters;
 }
 
@@ -289,6 +292,7 @@
   }
   digest.outcomes.version_outcomes = DecodeVersionOutcomes(parameters["w"]);
   digest.rollouts = DecodeRolloutNews(parameters["r"]);
+  digest.retry_credit = DecodeCreditNews(parameters["k"]);
   return digest;
 }
 
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -13,6 +13,7 @@
 #include "dissemination/member_table.h"
 #include "dissemination/outcome_summary.h"
 #include "dissemination/rollout_news.h"
+#include "retry/credit_message.h"
 
 namespace parsleyquay {
 
@@ -61,6 +62,8 @@
   std::map<std::string, DomainView> domains;  // by failure domain
   OutcomeSummary outcomes;
   std::vector<RolloutNews> rollouts;  // the newest known status of each
+  // Unset unless instances give each other credit for retries.
+  std::optional<CreditNews> retry_credit;
 
   bool operator==(const Digest&) const = default;
 };
--- a/libraries/gateway/admission_controller.cc
+++ b/libraries/gateway/admission_controller.cc
@@ -27,13 +27,12 @@
 
 }  // namespace
 
-AdmissionController::AdmissionController(
-    GatewayContext& context,
-    LoadBalancer& load_balancer,
-    std::function<bool(const std::string& service)> has_retry_budget)
+AdmissionController::AdmissionController(GatewayContext& context,
+                                         LoadBalancer& load_balancer,
+                                         RetryBudgets& retry_budgets)
     : context(context),
       load_balancer(load_balancer),
-      has_retry_budget(std::move(has_retry_budget)),
+      retry_budgets(retry_budgets),
       timer(context.loop, [this] { this->DispatchAll(); }) {}
 
 AdmissionController::Result AdmissionController::Admit(
@@ -45,6 +44,9 @@
   const RetrySupply supply = request.is_retry
                                  ? this->RetrySupplyOf(service, admission)
                                  : RetrySupply{};
+  if (request.is_retry && !supply.is_available) {
+    this->retry_budgets.RecordUnmet(service, request.priority);
+  }
   const AdmissionDecision decision =
       DecideOnArrival(admission, request, supply, this->context.Now());
   if (decision.verdict == AdmissionVerdict::kSend) {
@@ -106,7 +108,7 @@
 RetrySupply AdmissionController::RetrySupplyOf(
     const std::string& service,
     const ServiceAdmission& admission) const {
-  return {.is_available = this->has_retry_budget(service),
+  return {.is_available = this->retry_budgets.CanSpend(service),
           .per_second = ArrivalRate(admission, this->context.Now()) *
                         this->context.settings.bounds.retry_ratio *
                         kUsedRetryRatio};
--- a/libraries/gateway/admission_controller.h
+++ b/libraries/gateway/admission_controller.h
@@ -10,6 +10,7 @@
 #include "event/timer.h"
 #include "gateway/gateway_context.h"
 #include "gateway/load_balancer.h"
+#include "gateway/retry_budgets.h"
 
 namespace parsleyquay {
 
@@ -31,11 +32,9 @@
     Duration retry_after = Duration(0);  // if it is rejected
   };
 
-  // `has_retry_budget` returns whether a retry may be sent to a service now.
-  AdmissionController(
-      GatewayContext& context,
-      LoadBalancer& load_balancer,
-      std::function<bool(const std::string& service)> has_retry_budget);
+  AdmissionController(GatewayContext& context,
+                      LoadBalancer& load_balancer,
+                      RetryBudgets& retry_budgets);
 
   bool is_enabled() const {
     return this->context.settings.admission.max_waiting > 0;
@@ -84,7 +83,7 @@
 
   GatewayContext& context;
   LoadBalancer& load_balancer;
-  std::function<bool(const std::string&)> has_retry_budget;
+  RetryBudgets& retry_budgets;
   Timer timer;                                   // runs while requests wait
   std::map<std::string, ServiceState> services;  // by name
   std::map<std::uint64_t, Handlers> handlers;    // by id, of waiting requests
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -45,6 +45,7 @@
 std::vector<std::string> PeerMessageMethods() {
   std::vector<std::string> methods = WorkspaceRateLimiter::MessageMethods();
   methods.push_back(RolloutController::MessageMethod());
+  methods.push_back(RetryBudgets::MessageMethod());
   return methods;
 }
 
@@ -112,6 +113,7 @@
           [this](const RolloutRequestChange& change) {
             this->rollout_controller.OnRequestChange(change);
           }),
+      retry_budgets(this->context),
       client_budget(loop,
                     DeriveClientLimits(this->context.settings.process_limits),
                     [this](ClosureReason reason,
@@ -119,11 +121,7 @@
                            const ClientUsage& usage) {
                       this->OnClientsClosed(reason, count, usage);
                     }),
-      admission(this->context,
-                this->load_balancer,
-                [this](const std::string& service) {
-                  return this->MakeRequestDependencies().CanSpendRetry(service);
-                }),
+      admission(this->context, this->load_balancer, this->retry_budgets),
       flush_timer(loop, [] { FlushEventLog(); }),
       loop_stall_detector(
           loop,
@@ -192,6 +190,7 @@
   this->dissemination.Start();
   this->rate_limiter.Start();
   this->rollout_controller.Start();
+  this->retry_budgets.Start();
   this->flush_timer.StartRepeating(kLogFlushInterval);
   this->loop_stall_detector.Start();
   return {};
@@ -212,6 +211,7 @@
                     this->configuration_watcher.newest_known_position();
                 this->server_discovery.AddChangesToDigest(digest);
                 digest.rollouts = this->rollout_controller.News();
+                this->retry_budgets.FillDigest(digest);
               },
           .add_full_server_list =
               [this](Digest& digest) {
@@ -226,6 +226,10 @@
                   this->rollout_controller.OnMessage(parameters);
                   return;
                 }
+                if (method == RetryBudgets::MessageMethod()) {
+                  this->retry_budgets.OnMessage(parameters);
+                  return;
+                }
                 this->rate_limiter.OnMessage(method, parameters);
               }};
 }
@@ -335,6 +339,7 @@
   IncrementCounter(metrics, "client_bytes", usage.bytes);
   IncrementCounter(metrics, "log_lines_dropped", DroppedLogLines());
   this->rollout_controller.AddMetrics(metrics);
+  this->retry_budgets.AddMetrics(metrics);
   if (this->context.peer_transport) {
     const PeerTrafficCounters& traffic =
         this->context.peer_transport->traffic();
@@ -356,6 +361,7 @@
   this->configuration_watcher.OnPeerFeedPosition(digest.operator_position);
   this->server_discovery.ApplyDigest(digest);
   this->rollout_controller.OnNews(digest.rollouts);
+  this->retry_budgets.OnDigest(digest);
   this->rate_limiter.GiveUpSupersededShards();
 }
 
@@ -378,6 +384,7 @@
        .rank =
            RankOfMember(this->context.members, this->context.settings.name)});
   this->configuration_watcher.SetFrequentReads(role.is_aggregator);
+  this->retry_budgets.OnRoleChange(role);
 }
 
 void Gateway::UpdateSettings(const GatewaySettings& settings) {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -13,11 +13,11 @@
 #include "gateway/gateway_context.h"
 #include "gateway/load_balancer.h"
 #include "gateway/proxied_request.h"
+#include "gateway/retry_budgets.h"
 #include "gateway/rollout_controller.h"
 #include "gateway/server_discovery.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "http/http_server.h"
-#include "retry/fleet_retry_budget.h"
 
 namespace parsleyquay {
 
@@ -74,7 +74,7 @@
   LoadBalancer load_balancer;
   WorkspaceRateLimiter rate_limiter;
   ConfigurationWatcher configuration_watcher;
-  std::map<std::string, FleetRetryBudget> retry_budgets;  // by service
+  RetryBudgets retry_budgets;
   ClientBudget client_budget;
   AdmissionController admission;
   std::unique_ptr<HttpServer> request_server;
--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -127,19 +127,24 @@
       reader.Integer("max_waiting_bytes", kWaitingBytesRange));
 }
 
+void ReadRetries(SectionReader& reader, GatewaySettings& settings) {
+  settings.has_pooled_retries = reader.BooleanOr("pooled_budget", false);
+}
+
 struct SectionParser {
   std::string name;
   void (*parse)(SectionReader&, GatewaySettings&);
   bool is_optional = false;
 };
 
-const std::array<SectionParser, 5>& SectionParsers() {
-  static const std::array<SectionParser, 5> parsers = {
+const std::array<SectionParser, 6>& SectionParsers() {
+  static const std::array<SectionParser, 6> parsers = {
       {{"instance", &ReadInstance},
        {"listen", &ReadListen},
        {"store", &ReadStore},
        {"bounds", &ReadBounds},
-       {"admission", &ReadAdmission, true}}};
+       {"admission", &ReadAdmission, true},
+       {"retries", &ReadRetries, true}}};
   return parsers;
 }
 
@@ -169,8 +174,8 @@
         });
     if (!is_known) {
       parsed.problems.push_back({section.line, section.name, "", "",
-                                 "[instance], [listen], [store], [bounds] or "
-                                 "[admission]"});
+                                 "[instance], [listen], [store], [bounds], "
+                                 "[admission] or [retries]"});
     }
   }
   return parsed;
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -61,6 +61,9 @@
   Duration shortest_lease = seconds(1);  // that the store accepts for shards
   FleetBounds bounds;
   AdmissionLimits admission;  // without its section, requests never wait
+  // Whether instances give each other the credit for retries that they do not
+  // need.
+  bool has_pooled_retries = false;
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -1,7 +1,6 @@
 #ifndef PARSLEYQUAY_GATEWAY_PROXIED_REQUEST_H_
 #define PARSLEYQUAY_GATEWAY_PROXIED_REQUEST_H_
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,11 +10,11 @@
 #include "gateway/error_response.h"
 #include "gateway/gateway_context.h"
 #include "gateway/load_balancer.h"
+#include "gateway/retry_budgets.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "http/message_framing.h"
 #include "http/server_exchange.h"
 #include "retry/attempt_outcome.h"
-#include "retry/fleet_retry_budget.h"
 
 namespace parsleyquay {
 
@@ -27,27 +26,8 @@
   GatewayContext& context;
   WorkspaceRateLimiter& rate_limiter;
   LoadBalancer& load_balancer;
-  std::map<std::string, FleetRetryBudget>& retry_budgets;  // by service
+  RetryBudgets& retry_budgets;
   AdmissionController& admission;
-
-  FleetRetryLimit retry_limit() const {
-    const FleetBounds& bounds = this->context.settings.bounds;
-    return {bounds.retry_ratio, bounds.retry_slack, bounds.retry_window};
-  }
-
-  // This instance's rank among the members, which determines its share of the
-  // fleet's retries.
-  InstanceRank instance_rank() const {
-    return {RankOfMember(this->context.members, this->context.settings.name),
-            this->context.member_count()};
-  }
-
-  // Returns whether the budget permits a retry to the service now.
-  bool CanSpendRetry(const std::string& service) const {
-    return parsleyquay::CanSpendRetry(
-        this->retry_budgets[service], this->retry_limit(),
-        this->instance_rank(), this->context.Now());
-  }
 };
 
 // One client request that is proxied to a backend server. It is validated,
@@ -101,6 +81,7 @@
   void SendToAnyServer();
   void SendToAvailableServer();
   bool is_subject_to_admission() const;
+  int priority() const;
   AdmissionRequest MakeAdmissionRequest() const;
   TimePoint AdmissionDeadline() const;
   void RequestAdmission();
@@ -129,6 +110,8 @@
   void OnTimer();
   void StartTimer();
   void OnOverdue();
+  bool HasServersLeft(AttemptResult attempt_result,
+                      std::size_t tried_servers) const;
   bool MayTryAnotherServer(AttemptResult attempt_result) const;
   bool MayTryAnotherServer(AttemptResult attempt_result,
                            std::size_t tried_servers) const;
--- a/libraries/gateway/proxied_request_admission.cc
+++ b/libraries/gateway/proxied_request_admission.cc
@@ -21,6 +21,12 @@
          (this->tried.empty() || this->owes_retry);
 }
 
+int ProxiedRequest::priority() const {
+  return GetWorkspaceConfiguration(this->routing->configuration(),
+                                   this->workspace)
+      .priority.value_or(this->route().priority);
+}
+
 AdmissionRequest ProxiedRequest::MakeAdmissionRequest() const {
   const WorkspaceConfiguration& configuration = GetWorkspaceConfiguration(
       this->routing->configuration(), this->workspace);
@@ -28,7 +34,7 @@
           .weight = configuration.has_rate_limit()
                         ? configuration.requests_per_second
                         : kDefaultWeight,
-          .priority = configuration.priority.value_or(this->route().priority),
+          .priority = this->priority(),
           .is_retry = this->owes_retry,
           .bytes = this->body.size() + HeadBytes(*this->exchange),
           .started_at = this->started_at,
@@ -87,9 +93,7 @@
   }
   if (this->owes_retry) {
     this->owes_retry = false;
-    SpendRetry(this->dependencies.retry_budgets[this->service],
-               this->dependencies.retry_limit(),
-               this->dependencies.instance_rank(), this->context.Now());
+    this->dependencies.retry_budgets.Spend(this->service, this->priority());
   }
   this->SendToAvailableServer();
 }
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -53,8 +53,7 @@
   this->attempt = Attempt{};
   this->attempt.reservation = std::move(reservation);
   if (this->tried.size() == 1) {
-    EarnRetry(this->dependencies.retry_budgets[this->service],
-              this->dependencies.retry_limit());
+    this->dependencies.retry_budgets.Earn(this->service);
   }
   CallHandlers handlers = BindCallHandlers<ProxiedRequest>(
       this->weak_from_this(), {.may_send = &ProxiedRequest::MaySend,
@@ -206,7 +205,7 @@
 }
 
 NextStep ProxiedRequest::ChooseStep(AttemptResult attempt_result) {
-  const AttemptContext attempt_context{
+  AttemptContext attempt_context{
       .is_idempotent = this->route().is_idempotent,
       .has_response_started = this->has_response_started,
       .can_replay_body = this->MayTryAnotherServer(attempt_result),
@@ -221,9 +220,15 @@
   // is not a retry.
   if (step == NextStep::kRetry && !this->owes_retry &&
       attempt_result != AttemptResult::kNeverSent) {
-    SpendRetry(this->dependencies.retry_budgets[this->service],
-               this->dependencies.retry_limit(),
-               this->dependencies.instance_rank(), this->context.Now());
+    this->dependencies.retry_budgets.Spend(this->service, this->priority());
+  }
+  // A retry that only the budget has prevented.
+  attempt_context.can_replay_body =
+      this->HasServersLeft(attempt_result, this->tried.size());
+  if (step != NextStep::kRetry &&
+      ChooseNextStep(attempt_result, attempt_context) == NextStep::kRetry) {
+    this->dependencies.retry_budgets.RecordUnmet(this->service,
+                                                 this->priority());
   }
   return step;
 }
@@ -233,9 +238,9 @@
 }
 
 // Returns whether another server may be tried after `tried_servers` servers, of
-// which the last attempt ended with `attempt_result`.
-bool ProxiedRequest::MayTryAnotherServer(AttemptResult attempt_result,
-                                         std::size_t tried_servers) const {
+// which the last attempt ended with `attempt_result`, apart from the budget.
+bool ProxiedRequest::HasServersLeft(AttemptResult attempt_result,
+                                    std::size_t tried_servers) const {
   if (!this->is_body_fully_buffered || tried_servers >= kMaxTriedServers) {
     return false;
   }
@@ -244,11 +249,19 @@
   }
   const auto reached_count =
       static_cast<long>(tried_servers - this->unreachable_count);
-  const bool may_wait_for_budget = attempt_result == AttemptResult::kShed &&
-                                   this->dependencies.admission.is_enabled();
-  return reached_count < std::max(1L, this->route().max_servers) &&
-         (may_wait_for_budget ||
-          this->dependencies.CanSpendRetry(this->service));
+  return reached_count < std::max(1L, this->route().max_servers);
+}
+
+// Returns whether another server may be tried, as above, and the budget
+// permits it or the request may wait for it.
+bool ProxiedRequest::MayTryAnotherServer(AttemptResult attempt_result,
+                                         std::size_t tried_servers) const {
+  const bool needs_no_budget = attempt_result == AttemptResult::kNeverSent ||
+                               (attempt_result == AttemptResult::kShed &&
+                                this->dependencies.admission.is_enabled());
+  return this->HasServersLeft(attempt_result, tried_servers) &&
+         (needs_no_budget ||
+          this->dependencies.retry_budgets.CanSpend(this->service));
 }
 
 void ProxiedRequest::ExecuteStep(AttemptResult attempt_result, NextStep step) {
@@ -307,9 +320,7 @@
   this->attempt.call->Cancel();
   this->may_have_executed = true;
   this->ReleaseServer(this->OutcomeOf(AttemptResult::kStalled));
-  SpendRetry(this->dependencies.retry_budgets[this->service],
-             this->dependencies.retry_limit(),
-             this->dependencies.instance_rank(), this->context.Now());
+  this->dependencies.retry_budgets.Spend(this->service, this->priority());
   this->Send(*reservation);
 }
 
--- a/tests/gateway/settings_template_test.cc
+++ b/tests/gateway/settings_template_test.cc
@@ -132,6 +132,18 @@
   CHECK(ParseGatewaySettings(text + "unknown = 1\n").problems.size() == 1);
 }
 
+// Guards against a pool that is on without being asked for.
+TEST_CASE("the retry budgets are pooled only where the settings say so") {
+  CHECK_FALSE(ParseRendered({}).settings.has_pooled_retries);
+  const std::string text = Render(ReadTemplate(), CommonFields());
+  const ParsedGatewaySettings pooled =
+      ParseGatewaySettings(text + "\n[retries]\npooled_budget = yes\n");
+  CHECK(pooled.problems.empty());
+  CHECK(pooled.settings.has_pooled_retries);
+  CHECK(ParseGatewaySettings(text + "\n[retries]\npooled_budget = maybe\n")
+            .problems.size() == 1);
+}
+
 TEST_CASE("a bound that is stated is applied") {
   const FleetBounds bounds = ParseRendered(AllBounds()).settings.bounds;
   CHECK(bounds.address_lifetime == seconds(4));
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -27,7 +27,8 @@
 
 }  // namespace
 
-GatewayFixture::GatewayFixture(AdmissionLimits admission) {
+GatewayFixture::GatewayFixture(AdmissionLimits admission,
+                               bool has_pooled_retries) {
   REQUIRE(sodium_init() >= 0);
   this->settings.name = "g-1";
   this->settings.failure_domain = "x";
@@ -37,6 +38,7 @@
   this->settings.peer_address = FreeAddress();
   this->settings.metrics_address = FreeAddress();
   this->settings.admission = admission;
+  this->settings.has_pooled_retries = has_pooled_retries;
   this->settings.store_address = "127.0.0.1:1";
   this->settings.bounds.termination_grace_period = seconds(2);
   RunOrReport(
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -19,7 +19,8 @@
 // servers that the test controls.
 class GatewayFixture {
  public:
-  explicit GatewayFixture(AdmissionLimits admission = {});
+  explicit GatewayFixture(AdmissionLimits admission = {},
+                          bool has_pooled_retries = false);
 
   // Publishes a configuration with four routes to the service "work": /safe/,
   // /bulk/ and /open/ are idempotent, /once/ is not; /bulk/ has large responses
