--- a/tests/retry/credit_search_test.cc
+++ b/tests/retry/credit_search_test.cc
@@ -176,6 +176,27 @@
   }
 }
 
+// Guards against an exchange that does not resume after restarts of
+// aggregators, network partitions and messages that were lost, duplicated or
+// delayed.
+TEST_CASE("unused credit reaches the instances in need under faults") {
+  for (const std::size_t instances : {36UL, 165UL}) {
+    CreditScenario scenario = TenthInNeed(instances, 600, 1);
+    scenario.faults = {.loss = 0.1,
+                       .duplication = 0.2,
+                       .long_delay = 0.1,
+                       .restarts = 0.02,
+                       .reboots = 0.3,
+                       .partitions = 0.15};
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+      const Reach reach = MeasureReach(scenario, seed);
+      INFO(instances << " instances, seed " << seed << ": " << reach.of_need
+                     << " of the need, alone " << reach.alone);
+      CHECK(reach.of_need > 2 * reach.alone);
+    }
+  }
+}
+
 // The budgets without a pool: each instance may have saved one retry, and all
 // may spend it in one window.
 CreditScenario SavedBeforeOutage() {
