coordination: Let the reader of a change feed pause

An instance that has the changes from another one needs no long poll, but still reads once when it is told to and in a new era.

Measured: ctest -R '^plumbing$' passes, with one new test case.

--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -75,6 +75,32 @@
     this->CancelCurrent();
   }
 
+  // Ends the continuous reads, since another instance tells of the changes.
+  // Further reads are those of ReadNow() and of a new era, each until it
+  // succeeds. May be called before Start(), which is then not needed.
+  void Pause() {
+    this->is_paused = true;
+    if (this->is_waiting) {
+      this->CancelCurrent();
+    }
+    if (this->failures == 0 && !this->is_era_read_scheduled) {
+      this->timer.Stop();
+    }
+  }
+
+  // Continues the continuous reads, with one that is sent now.
+  void Resume() {
+    if (!std::exchange(this->is_paused, false) || this->failures > 0 ||
+        this->is_era_read_scheduled) {
+      return;
+    }
+    if (this->next_position) {
+      this->ReadNext();
+    } else {
+      this->Start();
+    }
+  }
+
   // Takes effect at once: the next read is due one interval after the last one
   // ended, so it is sent now if that is past. The retry of a failed read is not
   // postponed. A read that waits for a change is replaced if the new schedule
@@ -92,7 +118,7 @@
     } else if (this->last_read_ended_at && this->failures == 0 &&
                !this->is_era_read_scheduled) {
       const TimePoint due = *this->last_read_ended_at + this->schedule.interval;
-      this->timer.StartOnce(std::max(Duration(0), due - this->loop.Now()));
+      this->ScheduleNextRead(std::max(Duration(0), due - this->loop.Now()));
     }
   }
 
@@ -163,7 +189,8 @@
     this->next_position = to;
     this->has_expired = false;
     if (std::exchange(this->is_era_read_scheduled, false)) {
-      this->timer.StartOnce(this->schedule.interval);
+      this->timer.Stop();
+      this->ScheduleNextRead(this->schedule.interval);
     }
     this->Deliver(std::move(changes), ChangeSetKind::kSnapshot);
   }
@@ -178,6 +205,12 @@
   // load on the store.
   static constexpr Duration kMinRetryDelay = milliseconds(150);
 
+  void ScheduleNextRead(Duration delay) {
+    if (!this->is_paused) {
+      this->timer.StartOnce(delay);
+    }
+  }
+
   void CancelCurrent() {
     if (this->cancel_current_read) {
       const CancelFeedRead cancel_read = std::move(this->cancel_current_read);
@@ -276,7 +309,7 @@
     if (kind == ChangeSetKind::kIncremental && era != sent_era) {
       // The offset that was read from is one of an earlier era. Either a peer's
       // snapshot of this era has arrived meanwhile, or one is read.
-      this->timer.StartOnce(this->schedule.interval);
+      this->ScheduleNextRead(this->schedule.interval);
       this->ScheduleEraRead();
       return;
     }
@@ -289,7 +322,7 @@
       return;
     }
     this->last_read_ended_at = this->loop.Now();
-    this->timer.StartOnce(this->schedule.interval);
+    this->ScheduleNextRead(this->schedule.interval);
     // A peer may have told of newer changes meanwhile.
     if (this->next_position.value_or(FeedPosition()) <= read.next_position) {
       this->next_position = read.next_position;
@@ -339,6 +372,7 @@
   Timer timer;
   CancelFeedRead cancel_current_read;
   TimePoint current_read_sent_at;
+  bool is_paused = false;
   bool is_waiting = false;  // whether the current read waits for a change
   std::optional<FeedPosition> next_position;
   bool has_expired = false;     // changes at `next_position` are not retained
--- a/tests/coordination/change_feed_reader_test.cc
+++ b/tests/coordination/change_feed_reader_test.cc
@@ -58,6 +58,58 @@
   ChangeFeedReader<int> reader;
 };
 
+// Guards against reads of the store by an instance that has the changes from
+// others.
+TEST_CASE("a paused reader only reads when it is told to") {
+  Reading reading({.wait = seconds(5),
+                   .interval = milliseconds(10),
+                   .timeout = milliseconds(400)});
+  reading.RunFor(kDelay);
+  reading.reader.Pause();
+  const auto before = reading.feed.sent_reads();
+  reading.feed.Append(2);
+  reading.RunFor(kDelay);
+  reading.reader.SetReadSchedule(kOften);
+  reading.RunFor(milliseconds(800));
+  CHECK(reading.feed.sent_reads() == before);
+  CHECK_FALSE(reading.numbers.contains(2));
+  reading.reader.ApplyPeerSnapshot({0, 2}, {1, 2});
+  reading.RunFor(milliseconds(800));
+  CHECK(reading.feed.sent_reads() == before);
+  SECTION("once") {
+    reading.feed.Append(3);
+    reading.reader.ReadNow();
+    reading.RunFor(milliseconds(800));
+    CHECK(reading.numbers.contains(3));
+    CHECK(reading.feed.sent_reads() == before + 1);
+  }
+  SECTION("until it succeeds") {
+    reading.feed.Append(3);
+    reading.feed.SetAvailable(false);
+    reading.reader.ReadNow();
+    reading.RunFor(kDelay);
+    reading.feed.SetAvailable(true);
+    reading.RunFor(milliseconds(800));
+    CHECK(reading.numbers.contains(3));
+    CHECK(reading.feed.sent_reads() == before + 2);
+  }
+  SECTION("in a new era") {
+    reading.feed.ReturnWith({4});
+    reading.reader.OnNewEra(1);
+    reading.RunFor(milliseconds(800));
+    CHECK(reading.numbers == std::set<int>{4});
+    CHECK(reading.feed.sent_reads() == before + 1);
+  }
+  SECTION("after it was resumed") {
+    reading.feed.Append(3);
+    reading.reader.Resume();
+    reading.RunFor(kDelay);
+    CHECK(reading.numbers.contains(3));
+    reading.RunFor(milliseconds(800));
+    CHECK(reading.feed.sent_reads() > before + 1);
+  }
+}
+
 // Guards against a list of servers that nobody reads for longer than an
 // interval because the instance that reads it has just got that role.
 TEST_CASE("a change of schedule does not postpone a read that is due") {
