--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -178,6 +178,7 @@
   const Digest empty_part{.sender = digest.sender,
                           .configuration_version = digest.configuration_version,
                           .operator_position = digest.operator_position,
+                          .serves_configuration = digest.serves_configuration,
                           .servers_from = digest.servers_to,
                           .servers_to = digest.servers_to,
                           .server_list_age = digest.server_list_age};
@@ -216,6 +217,9 @@
   parameters["a"] = Json::UInt64(digest.servers_from.offset);
   parameters["z"] = Json::UInt64(digest.servers_to.offset);
   EncodeEras(digest, parameters);
+  if (digest.serves_configuration) {
+    parameters["c"] = true;
+  }
   if (digest.has_full_server_list) {
     parameters["l"] = true;
   }
@@ -259,6 +263,7 @@
   Digest digest{.sender = parameters["f"].asString(),
                 .configuration_version = parameters["v"].asUInt64(),
                 .operator_position = DecodePosition(parameters, "p"),
+                .serves_configuration = parameters["c"].asBool(),
                 .servers_from = DecodePosition(parameters, "a"),
                 .servers_to = DecodePosition(parameters, "z"),
                 .has_full_server_list = parameters["l"].asBool()};
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -46,6 +46,8 @@
   // The newest position of the operators' change feed that the sender has read
   // or heard of.
   FeedPosition operator_position;
+  // Whether the sender answers requests for the state of the operators' feed.
+  bool serves_configuration = false;
   // `server_changes` are all the changes between these positions of the
   // servers' change feed. With `has_full_server_list` they are the listings of
   // all servers at `servers_to` instead: a server without one is not listed.
--- a/tests/dissemination/dissemination_test.cc
+++ b/tests/dissemination/dissemination_test.cc
@@ -157,6 +157,7 @@
   Digest digest{.sender = "a",
                 .configuration_version = 7,
                 .operator_position = {0, 12},
+                .serves_configuration = true,
                 .servers_from = {0, 3},
                 .servers_to = {0, 5},
                 .server_list_age = milliseconds(250)};
