standins, tests: Count the reads of a topic by instance

Shows whether an instance reads a change from the store. The fixture for gateway processes can append sections to the settings and read the metrics.

--- a/tests/support/gateway_processes.cc
+++ b/tests/support/gateway_processes.cc
@@ -1,8 +1,10 @@
 #include "support/gateway_processes.h"
 
+#include <json/json.h>
 #include <unistd.h>
 
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "support/await.h"
@@ -26,12 +28,14 @@
 
 GatewayProcesses::GatewayProcesses(int count,
                                    bool relays_store,
-                                   std::string instance_settings)
+                                   std::string instance_settings,
+                                   std::string further_sections)
     : work_directory(std::filesystem::temp_directory_path() /
                      ("parsleyquay-gateways-" + std::to_string(getpid()) + "-" +
                       std::to_string(reinterpret_cast<std::uintptr_t>(this)))),
       relays_store(relays_store),
-      instance_settings(std::move(instance_settings)) {
+      instance_settings(std::move(instance_settings)),
+      further_sections(std::move(further_sections)) {
   std::filesystem::create_directories(this->work_directory);
   for (int i = 0; i < count; ++i) {
     this->store_addresses.push_back(FreeAddress());
@@ -55,6 +59,7 @@
   gateway.request_address = FreeAddress();
   gateway.readiness_address = FreeAddress();
   gateway.directory_address = FreeAddress();
+  gateway.metrics_address = FreeAddress();
   gateway.settings_file = this->work_directory / (gateway.name + ".ini");
   std::ofstream file(gateway.settings_file);
   file << "[instance]\nname = " << gateway.name << "\nfailure_domain = x\n"
@@ -62,13 +67,15 @@
        << "[listen]\nrequests = " << gateway.request_address
        << "\nreadiness = " << gateway.readiness_address
        << "\ndirectory = " << gateway.directory_address
-       << "\npeers = " << FreeAddress() << "\nmetrics = " << FreeAddress()
+       << "\npeers = " << FreeAddress()
+       << "\nmetrics = " << gateway.metrics_address
        << "\n[store]\naddress = " << this->StoreAddress(gateway, index)
        << "\nduty_count = 12\nshortest_lease = 1000ms\n"
           "[bounds]\ngrace = 4s\naddress_lifetime = 5s\nretry_ratio = 0.2\n"
           "retry_slack = 50\nretry_window = 10s\nallowance_window = 5s\n"
           "allowance_overshoot = 0.1\nallowance_slack = 20\n"
-          "cold_overshoot = 1.5\ncold_slack = 5\n";
+          "cold_overshoot = 1.5\ncold_slack = 5\n"
+       << this->further_sections;
 }
 
 std::string GatewayProcesses::StoreAddress(GatewayProcess& gateway,
@@ -143,14 +150,33 @@
   this->Control(query);
 }
 
-void GatewayProcesses::Control(const std::string& query,
-                               const std::string& body) {
-  bool is_done = false;
-  this->client.Fetch({.method = "POST",
-                      .address = this->store_addresses[0],
-                      .target = "/control?" + query},
-                     body, [&](const BufferedResponse&) { is_done = true; });
-  this->Await([&] { return is_done; });
+std::vector<int> GatewayProcesses::CountReads(const std::string& topic) {
+  Json::Value counts;
+  std::istringstream(this->Control("reads=" + topic)) >> counts;
+  std::vector<int> reads;
+  for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+    reads.push_back(counts.get(std::to_string(i), 0).asInt());
+  }
+  return reads;
+}
+
+std::string GatewayProcesses::Metrics(int gateway) {
+  return this
+      ->Get(this->gateways[static_cast<std::size_t>(gateway)].metrics_address,
+            "/metrics")
+      .body;
+}
+
+std::string GatewayProcesses::Control(const std::string& query,
+                                      const std::string& body) {
+  std::optional<BufferedResponse> response;
+  this->client.Fetch(
+      {.method = "POST",
+       .address = this->store_addresses[0],
+       .target = "/control?" + query},
+      body, [&](const BufferedResponse& result) { response = result; });
+  this->Await([&] { return response.has_value(); });
+  return response.value_or(BufferedResponse{}).body;
 }
 
 ScriptedServer& GatewayProcesses::AddServer(const std::string& id,
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -20,10 +20,12 @@
 class GatewayProcesses {
  public:
   // With `relays_store`, each gateway reaches the store through a TcpRelay.
-  // `instance_settings` are further lines for [instance] of the settings.
+  // `instance_settings` are further lines for [instance] of the settings,
+  // `further_sections` are sections to append.
   explicit GatewayProcesses(int count,
                             bool relays_store = false,
-                            std::string instance_settings = "");
+                            std::string instance_settings = "",
+                            std::string further_sections = "");
   ~GatewayProcesses();
 
   // Starts the store, publishes the configuration and starts all gateways.
@@ -48,6 +50,10 @@
   }
   // Changes the faults of the store, see StoreModel.
   void SetStoreFault(const std::string& query);
+  // Returns how many reads of the topic have arrived at the store, for each
+  // gateway.
+  std::vector<int> CountReads(const std::string& topic);
+  std::string Metrics(int gateway);
 
   ScriptedServer& AddServer(const std::string& id,
                             ScriptedServer::Script script);
@@ -94,13 +100,15 @@
     std::string request_address;
     std::string readiness_address;
     std::string directory_address;
+    std::string metrics_address;
     std::string settings_file;
     std::unique_ptr<TcpRelay> store_relay;
     std::unique_ptr<ChildProcess> process;
   };
 
   void WriteSettings(GatewayProcess& gateway, std::size_t index);
-  void Control(const std::string& query, const std::string& body = "");
+  // Returns the body of the response.
+  std::string Control(const std::string& query, const std::string& body = "");
   CallRequest MakeRequest(int gateway,
                           const std::string& method,
                           const std::string& target,
@@ -112,6 +120,7 @@
   std::filesystem::path work_directory;
   bool relays_store = false;
   std::string instance_settings;
+  std::string further_sections;
   std::vector<std::string> store_addresses;
   std::unique_ptr<ChildProcess> store;
   std::vector<GatewayProcess> gateways;
--- a/utilities/standins/store_model.cc
+++ b/utilities/standins/store_model.cc
@@ -93,6 +93,9 @@
     return;
   }
   ++this->call_counts[path];
+  if (path == "/api/log-read" || path == "/api/log-newest") {
+    ++this->read_counts[QueryValue(exchange->target(), "topic")][address_index];
+  }
   if (HasAddress(this->silent_addresses, address_index)) {
     return;
   }
@@ -115,6 +118,14 @@
 
 void StoreModel::Control(ServerExchange& exchange, const std::string& body) {
   const std::string& target = exchange.target();
+  if (const auto topic = QueryValue(target, "reads"); !topic.empty()) {
+    Json::Value counts(Json::objectValue);
+    for (const auto& [address_index, count] : this->read_counts[topic]) {
+      counts[std::to_string(address_index)] = count;
+    }
+    exchange.Respond(200, {}, Render(counts));
+    return;
+  }
   const std::string key = QueryValue(target, "key");
   const std::string content = static_cast<char>(key.size()) + key;
   if (const auto address_index = QueryValue(target, "down");
--- a/utilities/standins/store_model.h
+++ b/utilities/standins/store_model.h
@@ -38,6 +38,8 @@
 //                       if there is one
 //   put=TOPIC&key=KEY   appends a record with the body as its value
 //   drop=TOPIC&key=KEY  appends a record that deletes the key
+//   reads=TOPIC         responds with the number of reads of the topic that
+//                       have arrived, as a JSON object by address index
 class StoreModel {
  public:
   explicit StoreModel(EventLoop& loop);
@@ -121,6 +123,7 @@
   Duration lost_append_delay = Duration(0);
   int lost_replies = 0;
   std::map<std::string, int> call_counts;
+  std::map<std::string, std::map<std::size_t, int>> read_counts;  // by topic
 };
 
 }  // namespace parsleyquay
