--- a/libraries/gateway/configuration_watcher.cc
+++ b/libraries/gateway/configuration_watcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dissemination/configuration_transfer.h"
 #include "logging/event_log.h"
 
 namespace parsleyquay {
@@ -36,6 +37,12 @@
 // new era. The last one has to follow a change published in that era in time.
 constexpr Duration kNewEraSpread = milliseconds(400);
 
+void LogWithdrawal(const DomainWithdrawal& withdrawal) {
+  LogEvent(LogLevel::kInfo, "domain_withdrawal",
+           {{"failure_domain", withdrawal.failure_domain},
+            {"withdrawn", withdrawal.is_withdrawn ? "yes" : "no"}});
+}
+
 }  // namespace
 
 ConfigurationWatcher::ConfigurationWatcher(GatewayContext& context,
@@ -71,6 +78,32 @@
                                kNewEraSpread);
 }
 
+bool ConfigurationWatcher::ApplyPeerState(const FeedPosition& position,
+                                          std::vector<OperatorChange> changes) {
+  if (!IsAcceptablePosition(position, this->feed_reader.position(),
+                            this->context.coordination.era->known())) {
+    return false;
+  }
+  this->is_applying_peer_state = true;
+  this->feed_reader.ApplyPeerSnapshot(position, std::move(changes));
+  this->is_applying_peer_state = false;
+  if (!this->is_behind()) {
+    this->read_timer.Stop();
+    this->is_read_scheduled = false;
+  }
+  return true;
+}
+
+std::vector<OperatorChange> ConfigurationWatcher::State(
+    bool has_configuration) const {
+  std::vector<OperatorChange> changes =
+      ListChanges(this->state, this->position().era);
+  if (has_configuration && this->context.routing) {
+    changes.emplace_back(this->context.routing->configuration());
+  }
+  return changes;
+}
+
 void ConfigurationWatcher::OnPeerFeedPosition(const FeedPosition& position) {
   const bool is_news = position > this->newest_known_position();
   this->peer_position = std::max(this->peer_position, position);
@@ -124,43 +157,34 @@
 
 void ConfigurationWatcher::OnChanges(std::vector<OperatorChange> changes,
                                      ChangeSetKind kind) {
-  const std::set<std::string> before = this->withdrawn_domains;
+  const std::set<std::string> before = WithdrawnDomains(this->state);
   // A withdrawal that the first snapshot of an era lacks may be newer than the
   // data with which the store has returned, so it stays in force.
   const std::uint64_t era = this->position().era;
   const bool is_first_of_era = std::exchange(this->applied_era, era) != era;
-  if (kind == ChangeSetKind::kSnapshot && !is_first_of_era) {
-    this->withdrawn_domains.clear();
+  if (this->is_applying_peer_state) {
+    changes = parsleyquay::ApplyPeerState(this->state, std::move(changes), era);
+  } else {
+    ApplyReadChanges(this->state, changes, kind, is_first_of_era, era);
   }
   for (OperatorChange& change : changes) {
     if (auto* configuration = std::get_if<FleetConfiguration>(&change)) {
       this->ApplyConfiguration(std::move(*configuration));
-      continue;
-    }
-    if (const auto* request = std::get_if<RolloutRequestChange>(&change)) {
+    } else if (const auto* request =
+                   std::get_if<RolloutRequestChange>(&change)) {
       this->on_rollout_request(*request);
-      continue;
+    } else {
+      LogWithdrawal(std::get<DomainWithdrawal>(change));
     }
-    this->ApplyWithdrawal(std::get<DomainWithdrawal>(change));
   }
   this->UpdateLag();
-  if (this->withdrawn_domains != before) {
-    this->on_withdrawals(this->withdrawn_domains);
+  const std::set<std::string> withdrawn = WithdrawnDomains(this->state);
+  if (withdrawn != before) {
+    this->on_withdrawals(withdrawn);
   }
   this->on_news();
 }
 
-void ConfigurationWatcher::ApplyWithdrawal(const DomainWithdrawal& withdrawal) {
-  LogEvent(LogLevel::kInfo, "domain_withdrawal",
-           {{"failure_domain", withdrawal.failure_domain},
-            {"withdrawn", withdrawal.is_withdrawn ? "yes" : "no"}});
-  if (withdrawal.is_withdrawn) {
-    this->withdrawn_domains.insert(withdrawal.failure_domain);
-    return;
-  }
-  this->withdrawn_domains.erase(withdrawal.failure_domain);
-}
-
 void ConfigurationWatcher::ApplyConfiguration(
     FleetConfiguration configuration) {
   const std::uint64_t known = this->context.configuration_version();
--- a/libraries/gateway/configuration_watcher.h
+++ b/libraries/gateway/configuration_watcher.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/change_feed_reader.h"
+#include "dissemination/operator_state.h"
 #include "gateway/gateway_context.h"
 
 namespace parsleyquay {
@@ -36,6 +37,23 @@
   void Start() { this->feed_reader.Start(); }
   void Stop() { this->feed_reader.Stop(); }
 
+  // Ends the continuous reads of the feed; may be called in place of Start().
+  // Changes then come from ApplyPeerState(). The feed is still read once if
+  // that does not follow an announcement in time, and in a new era.
+  void PauseReads() { this->feed_reader.Pause(); }
+  void ResumeReads() { this->feed_reader.Resume(); }
+  void ReadNow() { this->feed_reader.ReadNow(); }
+
+  // Takes over the whole state that another instance has at `position`. Returns
+  // false, without taking it over, if it is not newer than that of this
+  // instance or of another era, see IsAcceptablePosition().
+  bool ApplyPeerState(const FeedPosition& position,
+                      std::vector<OperatorChange> changes);
+
+  // Returns the whole state at position(), for ApplyPeerState() at another
+  // instance.
+  std::vector<OperatorChange> State(bool has_configuration) const;
+
   // Another instance has read the feed up to `position`. Schedules a read if
   // this instance has not.
   void OnPeerFeedPosition(const FeedPosition& position);
@@ -53,6 +71,12 @@
     return this->feed_reader.position().value_or(FeedPosition());
   }
 
+  // Whether the feed has been read, or a peer's state has been taken over.
+  bool has_state() const { return this->feed_reader.position().has_value(); }
+
+  // Whether a peer is known to have read further than this instance.
+  bool is_behind() const { return this->peer_position > this->position(); }
+
   // The newest position that this instance or a peer has read, as far as known.
   FeedPosition newest_known_position() const {
     return std::max(this->position(), this->peer_position);
@@ -65,14 +89,14 @@
   Duration lag() const;
   void OnChanges(std::vector<OperatorChange> changes, ChangeSetKind kind);
   void ApplyConfiguration(FleetConfiguration configuration);
-  void ApplyWithdrawal(const DomainWithdrawal& withdrawal);
 
   GatewayContext& context;
   OnConfiguration on_configuration;
   OnWithdrawals on_withdrawals;
   OnNews on_news;
   OnRolloutRequest on_rollout_request;
-  std::set<std::string> withdrawn_domains;
+  OperatorState state;
+  bool is_applying_peer_state = false;
   ChangeFeedReader<OperatorChange> feed_reader;
   Timer read_timer;
   bool is_read_scheduled = false;
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -74,6 +74,9 @@
   // Shares the outcome of a request to a backend server with all instances.
   void ReportOutcome(const OutcomeReport& report);
 
+  // Which aggregator this instance follows.
+  const AggregatorElection& current_election() const { return this->election; }
+
   // Shares that a request for the service was not served successfully.
   void ReportFailedRequest(const std::string& service);
 
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/random_id.h"
@@ -45,6 +46,8 @@
 std::vector<std::string> PeerMessageMethods() {
   std::vector<std::string> methods = WorkspaceRateLimiter::MessageMethods();
   methods.push_back(RolloutController::MessageMethod());
+  std::ranges::copy(ConfigurationSharing::MessageMethods(),
+                    std::back_inserter(methods));
   return methods;
 }
 
@@ -108,10 +111,16 @@
           [this](const std::set<std::string>& domains) {
             this->server_discovery.SetWithdrawnDomains(domains);
           },
-          [this] { this->dissemination.SendDigestSoon(); },
+          [this] {
+            this->dissemination.SendDigestSoon();
+            this->configuration_sharing.OnNewState();
+          },
           [this](const RolloutRequestChange& change) {
             this->rollout_controller.OnRequestChange(change);
           }),
+      configuration_sharing(this->context,
+                            this->configuration_watcher,
+                            this->dissemination.current_election()),
       client_budget(loop,
                     DeriveClientLimits(this->context.settings.process_limits),
                     [this](ClosureReason reason,
@@ -187,7 +196,7 @@
             this->OnMetricsRequest(*exchange);
           },
           &this->client_budget));
-  this->configuration_watcher.Start();
+  this->configuration_sharing.Start();
   this->server_discovery.Start();
   this->dissemination.Start();
   this->rate_limiter.Start();
@@ -210,6 +219,8 @@
                     this->context.configuration_version();
                 digest.operator_position =
                     this->configuration_watcher.newest_known_position();
+                digest.serves_configuration =
+                    this->configuration_sharing.is_enabled();
                 this->server_discovery.AddChangesToDigest(digest);
                 digest.rollouts = this->rollout_controller.News();
               },
@@ -226,6 +237,11 @@
                   this->rollout_controller.OnMessage(parameters);
                   return;
                 }
+                if (method == kConfigurationRequestMethod ||
+                    method == kConfigurationFragmentMethod) {
+                  this->configuration_sharing.OnMessage(method, parameters);
+                  return;
+                }
                 this->rate_limiter.OnMessage(method, parameters);
               }};
 }
@@ -354,6 +370,7 @@
       std::max(digest.operator_position.era, digest.servers_to.era));
   this->context.coordination.era->NotifyWatchers();
   this->configuration_watcher.OnPeerFeedPosition(digest.operator_position);
+  this->configuration_sharing.OnDigest(digest);
   this->server_discovery.ApplyDigest(digest);
   this->rollout_controller.OnNews(digest.rollouts);
   this->rate_limiter.GiveUpSupersededShards();
@@ -378,6 +395,7 @@
        .rank =
            RankOfMember(this->context.members, this->context.settings.name)});
   this->configuration_watcher.SetFrequentReads(role.is_aggregator);
+  this->configuration_sharing.OnRoleChange();
 }
 
 void Gateway::UpdateSettings(const GatewaySettings& settings) {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -8,6 +8,7 @@
 
 #include "event/loop_stall_detector.h"
 #include "gateway/admission_controller.h"
+#include "gateway/configuration_sharing.h"
 #include "gateway/configuration_watcher.h"
 #include "gateway/dissemination_agent.h"
 #include "gateway/gateway_context.h"
@@ -74,6 +75,7 @@
   LoadBalancer load_balancer;
   WorkspaceRateLimiter rate_limiter;
   ConfigurationWatcher configuration_watcher;
+  ConfigurationSharing configuration_sharing;
   std::map<std::string, FleetRetryBudget> retry_budgets;  // by service
   ClientBudget client_budget;
   AdmissionController admission;
--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -127,19 +127,25 @@
       reader.Integer("max_waiting_bytes", kWaitingBytesRange));
 }
 
+void ReadDissemination(SectionReader& reader, GatewaySettings& settings) {
+  settings.has_configuration_from_aggregators =
+      reader.BooleanOr("configuration_from_aggregators", false);
+}
+
 struct SectionParser {
   std::string name;
   void (*parse)(SectionReader&, GatewaySettings&);
   bool is_optional = false;
 };
 
-const std::array<SectionParser, 5>& SectionParsers() {
-  static const std::array<SectionParser, 5> parsers = {
+const std::array<SectionParser, 6>& SectionParsers() {
+  static const std::array<SectionParser, 6> parsers = {
       {{"instance", &ReadInstance},
        {"listen", &ReadListen},
        {"store", &ReadStore},
        {"bounds", &ReadBounds},
-       {"admission", &ReadAdmission, true}}};
+       {"admission", &ReadAdmission, true},
+       {"dissemination", &ReadDissemination, true}}};
   return parsers;
 }
 
@@ -169,8 +175,8 @@
         });
     if (!is_known) {
       parsed.problems.push_back({section.line, section.name, "", "",
-                                 "[instance], [listen], [store], [bounds] or "
-                                 "[admission]"});
+                                 "[instance], [listen], [store], [bounds], "
+                                 "[admission] or [dissemination]"});
     }
   }
   return parsed;
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -61,6 +61,9 @@
   Duration shortest_lease = seconds(1);  // that the store accepts for shards
   FleetBounds bounds;
   AdmissionLimits admission;  // without its section, requests never wait
+  // Whether this instance gets the operators' changes from an aggregator if it
+  // can, and tells them to others. Otherwise it reads them from the store.
+  bool has_configuration_from_aggregators = false;
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/tests/gateway/configuration_watcher_test.cc
+++ b/tests/gateway/configuration_watcher_test.cc
@@ -124,5 +124,43 @@
   CHECK(fixture.AwaitVersion(3, kInForce));
 }
 
+// Guards against reads of the store by an instance that has the changes from
+// its aggregator, and against one that waits for it too long.
+TEST_CASE("a paused watcher reads the store only if a peer does not tell it") {
+  WatcherFixture fixture;
+  fixture.RunFor(milliseconds(100));
+  fixture.watcher.PauseReads();
+  const auto reads = [&] { return fixture.model.calls().at("/api/log-read"); };
+  const int before = reads();
+  fixture.Publish(2);
+  fixture.watcher.OnPeerFeedPosition({0, 2});
+  REQUIRE(fixture.watcher.ApplyPeerState(
+      {0, 2}, {FleetConfiguration{.version = 2}, DomainWithdrawal{"x"}}));
+  CHECK(fixture.context.configuration_version() == 2);
+  const std::vector<OperatorChange> withdrawal = {DomainWithdrawal{"x"}};
+  CHECK((fixture.watcher.State(false) == withdrawal));
+  fixture.RunFor(milliseconds(400));
+  CHECK(reads() == before);
+  fixture.Publish(3);
+  fixture.watcher.OnPeerFeedPosition({0, 3});
+  CHECK(fixture.AwaitVersion(3, kInForce));
+  CHECK(reads() == before + 1);
+}
+
+// Guards against a configuration that is replaced by an older one.
+TEST_CASE("a peer's state replaces neither a newer nor one of another era") {
+  WatcherFixture fixture;
+  fixture.Publish(5);
+  REQUIRE(fixture.AwaitVersion(5, kInForce));
+  const std::vector<OperatorChange> older = {FleetConfiguration{.version = 4}};
+  CHECK_FALSE(fixture.watcher.ApplyPeerState({0, 2}, older));
+  CHECK_FALSE(fixture.watcher.ApplyPeerState({1, 9}, older));
+  CHECK(fixture.watcher.ApplyPeerState({0, 9}, older));
+  CHECK(fixture.context.configuration_version() == 5);
+  CHECK((fixture.watcher.State(true) ==
+         std::vector<OperatorChange>{
+             FleetConfiguration{fixture.context.routing->configuration()}}));
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/gateway/settings_template_test.cc
+++ b/tests/gateway/settings_template_test.cc
@@ -132,6 +132,22 @@
   CHECK(ParseGatewaySettings(text + "unknown = 1\n").problems.size() == 1);
 }
 
+TEST_CASE("the section of dissemination is optional") {
+  std::string text = Render(ReadTemplate(), CommonFields());
+  text = text.substr(0, text.find("[dissemination]"));
+  CHECK_FALSE(
+      ParseGatewaySettings(text).settings.has_configuration_from_aggregators);
+  text += "[dissemination]\n";
+  CHECK_FALSE(
+      ParseGatewaySettings(text).settings.has_configuration_from_aggregators);
+  CHECK(ParseGatewaySettings(text).problems.empty());
+  text += "configuration_from_aggregators = ";
+  const ParsedGatewaySettings enabled = ParseGatewaySettings(text + "yes\n");
+  CHECK(enabled.problems.empty());
+  CHECK(enabled.settings.has_configuration_from_aggregators);
+  CHECK(ParseGatewaySettings(text + "perhaps\n").problems.size() == 1);
+}
+
 TEST_CASE("a bound that is stated is applied") {
   const FleetBounds bounds = ParseRendered(AllBounds()).settings.bounds;
   CHECK(bounds.address_lifetime == seconds(4));
