--- a/tests/gateway/settings_template_test.cc
+++ b/tests/gateway/settings_template_test.cc
@@ -134,6 +134,7 @@
 
 TEST_CASE("the section of dissemination is optional") {
   std::string text = Render(ReadTemplate(), CommonFields());
+  CHECK(ParseGatewaySettings(text).settings.has_configuration_from_aggregators);
   text = text.substr(0, text.find("[dissemination]"));
   CHECK_FALSE(
       ParseGatewaySettings(text).settings.has_configuration_from_aggregators);
