--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/random_id.h"
@@ -46,6 +47,8 @@
   std::vector<std::string> methods = WorkspaceRateLimiter::MessageMethods();
   methods.push_back(RolloutController::MessageMethod());
   methods.push_back(RetryBudgets::MessageMethod());
+  std::ranges::copy(ConfigurationSharing::MessageMethods(),
+                    std::back_inserter(methods));
   return methods;
 }
 
@@ -109,11 +112,17 @@
           [this](const std::set<std::string>& domains) {
             this->server_discovery.SetWithdrawnDomains(domains);
           },
-          [this] { this->dissemination.SendDigestSoon(); },
+          [this] {
+            this->dissemination.SendDigestSoon();
+            this->configuration_sharing.OnNewState();
+          },
           [this](const RolloutRequestChange& change) {
             this->rollout_controller.OnRequestChange(change);
           }),
       retry_budgets(this->context),
+      configuration_sharing(this->context,
+                            this->configuration_watcher,
+                            this->dissemination.current_election()),
       client_budget(loop,
                     DeriveClientLimits(this->context.settings.process_limits),
                     [this](ClosureReason reason,
@@ -185,7 +194,7 @@
             this->OnMetricsRequest(*exchange);
           },
           &this->client_budget));
-  this->configuration_watcher.Start();
+  this->configuration_sharing.Start();
   this->server_discovery.Start();
   this->dissemination.Start();
   this->rate_limiter.Start();
@@ -209,6 +218,8 @@
                     this->context.configuration_version();
                 digest.operator_position =
                     this->configuration_watcher.newest_known_position();
+                digest.serves_configuration =
+                    this->configuration_sharing.is_enabled();
                 this->server_discovery.AddChangesToDigest(digest);
                 digest.rollouts = this->rollout_controller.News();
                 this->retry_budgets.FillDigest(digest);
@@ -230,6 +241,11 @@
                   this->retry_budgets.OnMessage(parameters);
                   return;
                 }
+                if (method == kConfigurationRequestMethod ||
+                    method == kConfigurationFragmentMethod) {
+                  this->configuration_sharing.OnMessage(method, parameters);
+                  return;
+                }
                 this->rate_limiter.OnMessage(method, parameters);
               }};
 }
@@ -359,6 +375,7 @@
       std::max(digest.operator_position.era, digest.servers_to.era));
   this->context.coordination.era->NotifyWatchers();
   this->configuration_watcher.OnPeerFeedPosition(digest.operator_position);
+  this->configuration_sharing.OnDigest(digest);
   this->server_discovery.ApplyDigest(digest);
   this->rollout_controller.OnNews(digest.rollouts);
   this->retry_budgets.OnDigest(digest);
@@ -385,6 +402,7 @@
            RankOfMember(this->context.members, this->context.settings.name)});
   this->configuration_watcher.SetFrequentReads(role.is_aggregator);
   this->retry_budgets.OnRoleChange(role);
+  this->configuration_sharing.OnRoleChange();
 }
 
 void Gateway::UpdateSettings(const GatewaySettings& settings) {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -8,6 +8,7 @@
 
 #include "event/loop_stall_detector.h"
 #include "gateway/admission_controller.h"
+#include "gateway/configuration_sharing.h"
 #include "gateway/configuration_watcher.h"
 #include "gateway/dissemination_agent.h"
 #include "gateway/gateway_context.h"
@@ -75,6 +76,7 @@
   WorkspaceRateLimiter rate_limiter;
   ConfigurationWatcher configuration_watcher;
   RetryBudgets retry_budgets;
+  ConfigurationSharing configuration_sharing;
   ClientBudget client_budget;
   AdmissionController admission;
   std::unique_ptr<HttpServer> request_server;
--- a/libraries/gateway/gateway_settings.cc
+++ b/libraries/gateway/gateway_settings.cc
@@ -131,19 +131,25 @@
   settings.has_pooled_retries = reader.BooleanOr("pooled_budget", false);
 }
 
+void ReadDissemination(SectionReader& reader, GatewaySettings& settings) {
+  settings.has_configuration_from_aggregators =
+      reader.BooleanOr("configuration_from_aggregators", false);
+}
+
 struct SectionParser {
   std::string name;
   void (*parse)(SectionReader&, GatewaySettings&);
   bool is_optional = false;
 };
 
-const std::array<SectionParser, 6>& SectionParsers() {
-  static const std::array<SectionParser, 6> parsers = {
+const std::array<SectionParser, 7>& SectionParsers() {
+  static const std::array<SectionParser, 7> parsers = {
       {{"instance", &ReadInstance},
        {"listen", &ReadListen},
        {"store", &ReadStore},
        {"bounds", &ReadBounds},
        {"admission", &ReadAdmission, true},
+       {"dissemination", &ReadDissemination, true},
        {"retries", &ReadRetries, true}}};
   return parsers;
 }
@@ -175,7 +181,8 @@
     if (!is_known) {
       parsed.problems.push_back({section.line, section.name, "", "",
                                  "[instance], [listen], [store], [bounds], "
-                                 "[admission] or [retries]"});
+                                 "[admission], [dissemination] or "
+                                 "[retries]"});
     }
   }
   return parsed;
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -64,6 +64,9 @@
   // Whether instances give each other the credit for retries that they do not
   // need.
   bool has_pooled_retries = false;
+  // Whether this instance gets the operators' changes from an aggregator if it
+  // can, and tells them to others. Otherwise it reads them from the store.
+  bool has_configuration_from_aggregators = false;
 
   bool operator==(const GatewaySettings&) const = default;
 };
