tests: Let misbehaving clients connect to two addresses at once

Guards against limits of each address that together exceed the memory: 1,800 clients that stop within their headers at the directory address, and as many at the metrics address.

--- a/tests/promises/misbehaving_clients_elsewhere_test.cc
+++ b/tests/promises/misbehaving_clients_elsewhere_test.cc
@@ -206,6 +206,20 @@
                                        "X-Long: " + std::string(15'000, 'h')});
 }
 
+// Guards against limits of each address that together exceed the memory.
+TEST_CASE("elsewhere: clients at both addresses") {
+  const std::string rest = "X-Long: " + std::string(15'000, 'h');
+  LowMemoryGateway gateway;
+  RawClients others(gateway.metrics_address(0), 1'800,
+                    {.bytes = HeadFor(Target::kMetrics, "GET") + rest});
+  for (int i = 0; i < 100; ++i) {
+    others.Step();
+    gateway.RunFor(milliseconds(10));
+  }
+  gateway.Survive(Target::kDirectory, 1'800,
+                  {.bytes = HeadFor(Target::kDirectory, "GET") + rest});
+}
+
 TEST_CASE("elsewhere: more clients than descriptors") {
   const Target target = AnyTarget();
   const std::size_t bytes_per_step = GENERATE(1, 10'000);
