dissemination: List owners of shards in digests with views

At 444 instances 9 of 20 schedules of test_rejoins "[.search]" left instances without owners 4 s after the last fault. An aggregator sends one member list per 50 ms, so that a round takes 1.9 s, and the first lists are incomplete. Requests were taken in alphabetical order, so that repeated ones kept those of other aggregators from being answered.

Digests with views now list their sender, the owners of its failure domain and, after a member has returned or while lists are requested, all owners. Requests of other aggregators come first, the others in turn. No message is added.

--- a/libraries/dissemination/member_updates.cc
+++ b/libraries/dissemination/member_updates.cc
@@ -1,5 +1,7 @@
 #include "dissemination/member_updates.h"
 
+#include <algorithm>
+
 namespace parsleyquay {
 
 namespace {
@@ -35,6 +37,31 @@
   }
 }
 
+void AddOwners(MemberUpdates& updates,
+               const MemberTable& table,
+               const std::string& own_domain,
+               TimePoint now) {
+  const bool has_to_add_all =
+      now - updates.member_returned_at < kReturnPeriod ||
+      !updates.list_requests.empty();
+  for (const auto& [name, entry] : table.members) {
+    if (IsAlive(entry, now) && !entry.status.owned_shards.empty() &&
+        (has_to_add_all || entry.status.record.failure_domain == own_domain)) {
+      updates.changed_members.insert(name);
+    }
+  }
+}
+
+void AddOwnStatus(MemberUpdates& updates,
+                  MemberTable& table,
+                  const std::string& name,
+                  TimePoint now) {
+  // Receivers ignore a status that is older than the newest digest of its
+  // member. The status of this instance is always current.
+  RecordAlive(table, name, now);
+  updates.changed_members.insert(name);
+}
+
 void RecordReturn(MemberUpdates& updates, TimePoint now) {
   updates.member_returned_at = now;
 }
@@ -81,6 +108,24 @@
   return listed;
 }
 
+MemberListRequest TakeListRequest(MemberUpdates& updates,
+                                  const MemberTable& table,
+                                  const std::string& own_domain) {
+  auto& requests = updates.list_requests;
+  auto next = std::ranges::find_if(requests, [&](const auto& request) {
+    return IsOfAnotherDomain(table, request.first, own_domain);
+  });
+  if (next == requests.end()) {
+    next = requests.upper_bound(updates.last_requester);
+    next = next == requests.end() ? requests.begin() : next;
+    updates.last_requester = next->first;
+  }
+  MemberListRequest taken{.sender = next->first};
+  taken.domains.assign(next->second.begin(), next->second.end());
+  requests.erase(next);
+  return taken;
+}
+
 std::vector<DigestMember> ListDomainMembers(
     const MemberTable& table,
     const std::set<std::string>& domains,
--- a/libraries/dissemination/member_updates.h
+++ b/libraries/dissemination/member_updates.h
@@ -35,6 +35,7 @@
   std::map<std::string, DomainDivergence> divergences;  // by failure domain
   // Failure domains whose member lists were requested, by requesting member.
   std::map<std::string, std::set<std::string>> list_requests;
+  std::string last_requester;  // whose request was taken last
   // When a member that had been silent was last heard again.
   TimePoint member_returned_at;
 
@@ -47,6 +48,24 @@
                       const MemberTable& table,
                       TimePoint now);
 
+// Adds the live members of the own failure domain that own shards to the
+// changed ones, since the aggregators of other failure domains may disagree
+// with its view for seconds. Adds those of all failure domains while members
+// have recently returned or wait for member lists, which take seconds if many
+// wait. The number of owners is limited by that of the shards.
+void AddOwners(MemberUpdates& updates,
+               const MemberTable& table,
+               const std::string& own_domain,
+               TimePoint now);
+
+// Adds this instance, `name`, to the changed members with its current status.
+// Receivers of a digest count its sender as alive, so one that was silent to
+// them would otherwise return with the status that it had before.
+void AddOwnStatus(MemberUpdates& updates,
+                  MemberTable& table,
+                  const std::string& name,
+                  TimePoint now);
+
 // Records that a member that had been silent was heard again. The tables of
 // this instance and its aggregator probably differ in more than that.
 void RecordReturn(MemberUpdates& updates, TimePoint now);
@@ -67,6 +86,15 @@
                                              const std::string& failure_domain,
                                              TimePoint now);
 
+// Removes the next request for member lists and returns it. Requests of other
+// failure domains come first: they are from aggregators, whose members wait for
+// the same lists. The others are taken in turn, since members repeat their
+// requests faster than all are answered in a large failure domain. There must
+// be a request.
+MemberListRequest TakeListRequest(MemberUpdates& updates,
+                                  const MemberTable& table,
+                                  const std::string& own_domain);
+
 // Returns all members of the failure domains, including the silent ones.
 std::vector<DigestMember> ListDomainMembers(
     const MemberTable& table,
--- a/libraries/gateway/membership_sync.cc
+++ b/libraries/gateway/membership_sync.cc
@@ -104,6 +104,10 @@
   }
   this->views_sent_at = now;
   AddSilentMembers(this->updates, this->context.members, now);
+  AddOwners(this->updates, this->context.members,
+            this->context.settings.failure_domain, now);
+  AddOwnStatus(this->updates, this->context.members,
+               this->context.settings.name, now);
   for (const std::string& domain : FailureDomains(this->context.members)) {
     views[domain] = ComputeDomainView(this->context.members, domain, now);
   }
@@ -117,21 +121,23 @@
 }
 
 void MembershipSync::SendNextMemberList() {
-  const auto request =
-      this->updates.list_requests.extract(this->updates.list_requests.begin());
+  const MemberListRequest request =
+      TakeListRequest(this->updates, this->context.members,
+                      this->context.settings.failure_domain);
   const std::string address =
-      PeerAddressOf(this->context.members, request.key());
+      PeerAddressOf(this->context.members, request.sender);
   if (!address.empty()) {
     IncrementCounter(this->context.metrics, "member_lists_sent");
     // Receivers ignore a status that is older than the newest digest of its
     // member. The status of this instance is always current.
     RecordAlive(this->context.members, this->context.settings.name,
                 this->context.Now());
-    SendDigestInParts(
-        this->context, {address},
-        {.sender = this->context.settings.name,
-         .members = ListDomainMembers(this->context.members, request.mapped(),
-                                      this->context.Now())});
+    SendDigestInParts(this->context, {address},
+                      {.sender = this->context.settings.name,
+                       .members = ListDomainMembers(
+                           this->context.members,
+                           {request.domains.begin(), request.domains.end()},
+                           this->context.Now())});
   }
   if (!this->updates.list_requests.empty()) {
     this->response_timer.StartOnce(kResponseGap);
--- a/tests/dissemination/rejoin_test.cc
+++ b/tests/dissemination/rejoin_test.cc
@@ -112,5 +112,48 @@
   CHECK(DecodeHeartbeat(EncodeHeartbeat(heartbeat)) == heartbeat);
 }
 
+// Guards against requests that are never answered since others are repeated
+// faster than all are answered.
+TEST_CASE("requests for member lists are taken in turn, aggregators' first") {
+  constexpr TimePoint kNow = TimePoint(seconds(1'000));
+  MemberTable table;
+  for (const auto& [name, domain] :
+       {std::pair("a-1", "a"), {"a-2", "a"}, {"b-1", "b"}}) {
+    UpdateMemberRecord(table, {.name = name, .failure_domain = domain}, kNow);
+  }
+  MemberUpdates updates;
+  updates.list_requests = {{"a-1", {"a", "b"}}, {"a-2", {"a"}}, {"b-1", {"a"}}};
+  CHECK(TakeListRequest(updates, table, "a").sender == "b-1");
+  CHECK(TakeListRequest(updates, table, "a") ==
+        MemberListRequest{"a-1", {"a", "b"}});
+  updates.list_requests["a-1"] = {"a"};
+  CHECK(TakeListRequest(updates, table, "a").sender == "a-2");
+  CHECK(TakeListRequest(updates, table, "a").sender == "a-1");
+  CHECK(updates.list_requests.empty());
+}
+
+// Guards against members that know no owner until their member lists arrive.
+TEST_CASE("digests list the owners of shards after a member has returned") {
+  constexpr TimePoint kNow = TimePoint(seconds(1'000));
+  MemberTable table;
+  UpdateMemberStatus(
+      table,
+      {.record = {.name = "owner", .failure_domain = "a"}, .owned_shards = {1}},
+      Duration(0), kNow);
+  UpdateMemberStatus(table, {.record = {.name = "other"}}, Duration(0), kNow);
+  MemberUpdates updates;
+  AddOwners(updates, table, "b", kNow);
+  CHECK(updates.changed_members.empty());
+  AddOwners(updates, table, "a", kNow);
+  CHECK(updates.changed_members == std::set<std::string>{"owner"});
+  updates = {};
+  RecordReturn(updates, kNow);
+  AddOwners(updates, table, "b", kNow);
+  CHECK(updates.changed_members == std::set<std::string>{"owner"});
+  updates = {.list_requests = {{"other", {"a"}}}};
+  AddOwners(updates, table, "b", kNow);
+  CHECK(updates.changed_members == std::set<std::string>{"owner"});
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/dissemination/simulated_fleet.cc
+++ b/tests/dissemination/simulated_fleet.cc
@@ -254,6 +254,8 @@
   if (this->now - member.views_sent_at >= kDigestInterval) {
     member.views_sent_at = this->now;
     AddSilentMembers(member.updates, member.table, this->now);
+    AddOwners(member.updates, member.table, own_domain, this->now);
+    AddOwnStatus(member.updates, member.table, member.election.name, this->now);
     for (const std::string& domain : FailureDomains(member.table)) {
       views[domain] = ComputeDomainView(member.table, domain, this->now);
     }
@@ -335,12 +337,14 @@
     return;
   }
   RecordAlive(member.table, member.election.name, this->now);
-  const auto request = member.updates.list_requests.extract(
-      member.updates.list_requests.begin());
-  this->SendDigestParts(member, {request.key()},
-                        {.sender = member.election.name,
-                         .members = ListDomainMembers(
-                             member.table, request.mapped(), this->now)});
+  const MemberListRequest request = TakeListRequest(
+      member.updates, member.table, member.election.failure_domain);
+  this->SendDigestParts(
+      member, {request.sender},
+      {.sender = member.election.name,
+       .members = ListDomainMembers(
+           member.table, {request.domains.begin(), request.domains.end()},
+           this->now)});
   if (!member.updates.list_requests.empty()) {
     this->Schedule(kResponseGap,
                    [this, &member] { this->SendNextMemberList(member); });
