http: Keep connections open until their last response is read

Closing a socket with unread data makes the kernel reset the connection and drop what the client has not received; so does data that arrives after the close. The same happened wherever a connection ends after a response: a client's own "Connection: close", a rejected upload, the exit of the process, and the idle timeout of a client that still reads from the socket buffer.

The server now duplicates the descriptor before libmicrohttpd closes it, shuts down the sending direction, and discards what arrives until the client closes. This is bounded by the idle timeout without acknowledgements, by 5 s of silence and 30 s in all after the response has been acknowledged, by the limits on connections and memory, and by the exit of the instance, which now waits for these clients up to nine tenths of the grace period. The rest of an upload whose response is ready is discarded only up to max_body_bytes.

--- a/libraries/client_limits/client_limits.cc
+++ b/libraries/client_limits/client_limits.cc
@@ -139,4 +139,31 @@
           now - *progress.header_seen_at > timeouts.header);
 }
 
+LingeringProgress UpdateLingeringProgress(
+    const LingeringProgress& progress,
+    std::optional<std::size_t> unacknowledged_before,
+    std::optional<std::size_t> unacknowledged,
+    TimePoint now) {
+  LingeringProgress updated = progress;
+  if (unacknowledged == 0U && !progress.delivered_at) {
+    updated.delivered_at = now;
+  }
+  if (unacknowledged_before && unacknowledged &&
+      *unacknowledged < *unacknowledged_before) {
+    updated.progressed_at = now;
+  }
+  return updated;
+}
+
+bool HasLingeredTooLong(const LingeringProgress& progress,
+                        const LingeringTimeouts& timeouts,
+                        TimePoint now) {
+  if (!progress.delivered_at) {
+    return now - progress.progressed_at > timeouts.idle;
+  }
+  return now - std::max(*progress.delivered_at, progress.received_at) >
+             timeouts.silence ||
+         now - *progress.delivered_at > timeouts.discarding;
+}
+
 }  // namespace parsleyquay
--- a/libraries/client_limits/client_limits.h
+++ b/libraries/client_limits/client_limits.h
@@ -99,6 +99,43 @@
                  const ClientTimeouts& timeouts,
                  TimePoint now);
 
+// How long a connection may stay open after its last response, until its client
+// closes it.
+struct LingeringTimeouts {
+  Duration idle;  // without progress, while a part of the response is unread
+  // After the client's system has received the whole response: without data
+  // from the client, and in all. A client that still sends a rejected upload is
+  // disconnected in the end.
+  Duration silence = seconds(5);
+  Duration discarding = seconds(30);
+
+  bool operator==(const LingeringTimeouts&) const = default;
+};
+
+// The state of such a connection.
+struct LingeringProgress {
+  TimePoint progressed_at;  // the client acknowledged more of the response
+  TimePoint received_at;    // last data from the client
+  // When the client had acknowledged the whole response; unset: it has not.
+  std::optional<TimePoint> delivered_at;
+
+  bool operator==(const LingeringProgress&) const = default;
+};
+
+// Returns the progress at `now`, given how many bytes were unacknowledged at
+// the last check and are now. If that is unknown, the client counts as not
+// having received the response.
+LingeringProgress UpdateLingeringProgress(
+    const LingeringProgress& progress,
+    std::optional<std::size_t> unacknowledged_before,
+    std::optional<std::size_t> unacknowledged,
+    TimePoint now);
+
+// Returns whether the connection is to be closed.
+bool HasLingeredTooLong(const LingeringProgress& progress,
+                        const LingeringTimeouts& timeouts,
+                        TimePoint now);
+
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_CLIENT_LIMITS_CLIENT_LIMITS_H_
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -352,6 +352,8 @@
                    this->context.coordination.era->known());
   const ClientUsage usage = this->client_budget.usage();
   IncrementCounter(metrics, "client_connections", usage.connections);
+  IncrementCounter(metrics, "client_connections_lingering",
+                   this->request_server->lingering_connections());
   IncrementCounter(metrics, "client_bytes", usage.bytes);
   IncrementCounter(metrics, "log_lines_dropped", DroppedLogLines());
   this->rollout_controller.AddMetrics(metrics);
@@ -454,11 +456,15 @@
   }
   const bool is_drained = this->has_stopped_listening &&
                           this->context.active_requests.empty() &&
-                          this->request_server->open_exchanges() == 0;
+                          this->request_server->open_exchanges() == 0 &&
+                          this->request_server->lingering_connections() == 0 &&
+                          !this->client_budget.HasUnacknowledgedData();
   if (is_drained || elapsed >= ShareOf(grace, kExitShare)) {
     LogEvent(LogLevel::kInfo, "stop",
              {{"active_requests",
-               std::to_string(this->context.active_requests.size())}});
+               std::to_string(this->context.active_requests.size())},
+              {"lingering_connections",
+               std::to_string(this->request_server->lingering_connections())}});
     FlushEventLog();
     this->context.loop.Stop();
   }
--- a/libraries/http/client_budget.cc
+++ b/libraries/http/client_budget.cc
@@ -100,6 +100,20 @@
   this->connections.erase(connection.self);
 }
 
+void ClientBudget::BeginLingering(ClientConnection& connection, int socket) {
+  connection.socket = socket;
+  connection.exchange = nullptr;
+  connection.began_at = this->loop.Now();
+  connection.is_lingering = true;
+}
+
+bool ClientBudget::HasUnacknowledgedData() const {
+  return std::ranges::any_of(
+      this->connections, [](const ClientConnection& connection) {
+        return CountUnacknowledgedBytes(connection.socket).value_or(0) > 0;
+      });
+}
+
 void ClientBudget::EndRequest(ClientConnection& connection) {
   connection.exchange = nullptr;
   connection.began_at = this->loop.Now();
@@ -196,31 +210,52 @@
 void ClientBudget::CloseTimedOut() {
   const TimePoint now = this->loop.Now();
   for (ClientConnection& connection : this->connections) {
-    if (!connection.is_closing && this->HasTimedOut(connection, now)) {
+    if (connection.is_closing || connection.is_lingering) {
+      continue;
+    }
+    this->UpdateProgress(connection, now);
+    const bool has_timed_out =
+        HasTimedOut({.progressed_at = connection.progressed_at,
+                     .header_seen_at = connection.header_seen_at,
+                     .phase = PhaseOf(connection)},
+                    this->timeouts, now);
+    if (has_timed_out) {
       this->Close(connection, ClosureReason::kTimeout);
     }
   }
 }
 
-bool ClientBudget::HasTimedOut(ClientConnection& connection,
-                               TimePoint now) const {
-  // A header section that arrives at once is never seen here, so that only
-  // connections that are idle for longer cost a call of the kernel.
+// Records what the kernel has received and what the client has acknowledged,
+// which the exchange does not notice: parts of a header section, and a response
+// that is read from the socket buffer.
+void ClientBudget::UpdateProgress(ClientConnection& connection,
+                                  TimePoint now) const {
+  // Clients that are fast are never seen here, so that only those that are idle
+  // for longer cost a call of the kernel.
   const bool may_have_header =
       !connection.exchange && !connection.header_seen_at &&
       now - connection.began_at >= kTimeoutCheckInterval;
-  if (may_have_header) {
-    const auto received = CountReceivedBytes(connection.socket);
-    if (!connection.received_before) {
-      connection.received_before = received;
-    } else if (received && *received > *connection.received_before) {
-      connection.header_seen_at = now;
-    }
+  const bool may_be_reading =
+      PhaseOf(connection) == ConnectionPhase::kWaitsForClient &&
+      now - connection.progressed_at >= kTimeoutCheckInterval;
+  if (!may_have_header && !may_be_reading) {
+    return;
+  }
+  const auto counts = GetTransferCounts(connection.socket);
+  if (!counts) {
+    return;
+  }
+  if (may_have_header && !connection.received_before) {
+    connection.received_before = counts->received_bytes;
+  } else if (may_have_header &&
+             counts->received_bytes > *connection.received_before) {
+    connection.header_seen_at = now;
+  }
+  if (connection.acknowledged_before &&
+      counts->acknowledged_bytes > *connection.acknowledged_before) {
+    connection.progressed_at = now;
   }
-  return parsleyquay::HasTimedOut({.progressed_at = connection.progressed_at,
-                                   .header_seen_at = connection.header_seen_at,
-                                   .phase = PhaseOf(connection)},
-                                  this->timeouts, now);
+  connection.acknowledged_before = counts->acknowledged_bytes;
 }
 
 void ClientBudget::Close(ClientConnection& connection, ClosureReason reason) {
@@ -232,9 +267,7 @@
   const bool discards =
       reason == ClosureReason::kLimit || connection.exchange != nullptr;
   if (discards) {
-    const linger discard = {.l_onoff = 1, .l_linger = 0};
-    setsockopt(connection.socket, SOL_SOCKET, SO_LINGER, &discard,
-               sizeof(discard));
+    DiscardUnsent(connection.socket);
   }
   shutdown(connection.socket, SHUT_RDWR);
   if (connection.exchange) {
--- a/libraries/http/client_budget.h
+++ b/libraries/http/client_budget.h
@@ -26,7 +26,10 @@
   // Bytes received when the current pause began; unset until it is known.
   std::optional<std::uint64_t> received_before;
   std::optional<TimePoint> header_seen_at;  // see ConnectionProgress
+  // Bytes that the client had acknowledged at the last check of its timeouts.
+  std::optional<std::uint64_t> acknowledged_before;
   bool is_closing = false;
+  bool is_lingering = false;                   // see LingeringConnections
   std::list<ClientConnection>::iterator self;  // in the budget's list
 };
 
@@ -57,11 +60,15 @@
   void SetTimeouts(const ClientTimeouts& timeouts) {
     this->timeouts = timeouts;
   }
+  const ClientTimeouts& client_timeouts() const { return this->timeouts; }
 
   // Returns whether a new connection may be accepted.
   bool MayAccept();
   ClientConnection* Add(int socket);
   void Remove(const ClientConnection& connection);
+  // Records that the connection is now only open for its last response, on the
+  // given socket. It counts on, but its owner applies the timeouts.
+  void BeginLingering(ClientConnection& connection, int socket);
   // Records that the connection is between two requests from now on.
   void EndRequest(ClientConnection& connection);
 
@@ -74,6 +81,8 @@
   bool is_memory_tight() const {
     return IsMemoryTight(this->usage(), this->own_limits);
   }
+  // Returns whether a client has not acknowledged all that was sent to it.
+  bool HasUnacknowledgedData() const;
   // Returns what clients use, with the socket buffers as last measured.
   ClientUsage usage() const;
 
@@ -81,7 +90,7 @@
   void Check();
   void CloseSlowest();
   void CloseTimedOut();
-  bool HasTimedOut(ClientConnection& connection, TimePoint now) const;
+  void UpdateProgress(ClientConnection& connection, TimePoint now) const;
   void Close(ClientConnection& connection, ClosureReason reason);
   void ReportClosures();
 
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -20,13 +20,26 @@
   std::shared_ptr<ServerExchange> exchange;
 };
 
+int SocketOf(MHD_Connection* connection) {
+  return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
 }  // namespace
 
+// A connection of a client to this server.
+struct ServerConnection {
+  ClientConnection* client = nullptr;  // null without a budget
+  // The last response is incomplete, and must not end like a complete one.
+  bool is_response_cut = false;
+};
+
 HttpServer::HttpServer(EventLoop& loop, Handler handler, ClientBudget* budget)
     : event_loop(loop),
       handler(std::move(handler)),
       client_budget(budget),
       monitor(loop),
+      lingering(loop, budget),
       watcher(loop, [this](int) { this->RunDaemon(); }),
       timer(loop, [this] { this->RunDaemon(); }) {}
 
@@ -34,6 +47,7 @@
   if (this->daemon) {
     // libmicrohttpd aborts the process if connections are still suspended.
     this->monitor.DisconnectAll();
+    this->is_stopping = true;
     this->watcher.Stop();
     this->timer.Stop();
     MHD_stop_daemon(this->daemon);
@@ -89,16 +103,30 @@
                               MHD_Connection* connection,
                               void** socket_context,
                               MHD_ConnectionNotificationCode code) {
-  ClientBudget* budget = static_cast<HttpServer*>(self)->client_budget;
-  if (!budget) {
+  auto* server = static_cast<HttpServer*>(self);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    ClientBudget* budget = server->client_budget;
+    *socket_context = new ServerConnection{
+        .client = budget ? budget->Add(SocketOf(connection)) : nullptr};
     return;
   }
-  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-    const auto* info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    *socket_context = budget->Add(info->connect_fd);
-  } else {
-    budget->Remove(*static_cast<ClientConnection*>(*socket_context));
+  server->OnConnectionClosed(connection);
+  delete static_cast<ServerConnection*>(*socket_context);
+}
+
+// Called before libmicrohttpd closes the socket.
+void HttpServer::OnConnectionClosed(MHD_Connection* connection) {
+  const ServerConnection& state = StateOf(connection);
+  const int socket = SocketOf(connection);
+  const bool may_linger =
+      !state.is_response_cut && !(state.client && state.client->is_closing);
+  if (may_linger && this->is_stopping) {
+    DiscardReceived(socket);
+  }
+  const bool lingers = may_linger && !this->is_stopping &&
+                       this->lingering.Add(socket, state.client);
+  if (state.client && !lingers) {
+    this->client_budget->Remove(*state.client);
   }
 }
 
@@ -109,7 +137,7 @@
 std::size_t HttpServer::open_connections() const {
   const auto* info =
       MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-  return info->num_connections;
+  return info->num_connections + this->lingering.count();
 }
 
 void HttpServer::StopListening() {
@@ -134,13 +162,10 @@
   return new PendingRequest{uri, nullptr};
 }
 
-ClientConnection* HttpServer::ClientOf(MHD_Connection* connection) const {
-  if (!this->client_budget) {
-    return nullptr;
-  }
+ServerConnection& HttpServer::StateOf(MHD_Connection* connection) {
   const auto* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-  return static_cast<ClientConnection*>(info->socket_context);
+  return *static_cast<ServerConnection*>(info->socket_context);
 }
 
 MHD_Result HttpServer::OnAccess(void* self,
@@ -157,7 +182,7 @@
     return pending->exchange->OnUpload(upload_data, upload_data_size);
   }
   pending->exchange = std::make_shared<ServerExchange>(
-      *server, connection, server->ClientOf(connection), method,
+      *server, connection, StateOf(connection).client, method,
       std::move(pending->target), version);
   ++server->exchange_count;
   server->handler(pending->exchange);
@@ -170,7 +195,7 @@
 void HttpServer::OnCompleted(void* self,
                              MHD_Connection* connection,
                              void** context,
-                             MHD_RequestTerminationCode) {
+                             MHD_RequestTerminationCode code) {
   auto* server = static_cast<HttpServer*>(self);
   const std::unique_ptr<PendingRequest> pending(
       static_cast<PendingRequest*>(*context));
@@ -180,8 +205,10 @@
   }
   --server->exchange_count;
   pending->exchange->OnCompleted();
-  if (ClientConnection* client = server->ClientOf(connection)) {
-    server->client_budget->EndRequest(*client);
+  ServerConnection& state = StateOf(connection);
+  state.is_response_cut = code != MHD_REQUEST_TERMINATED_COMPLETED_OK;
+  if (state.client) {
+    server->client_budget->EndRequest(*state.client);
   }
 }
 
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -13,10 +13,13 @@
 #include "event/timer.h"
 #include "http/client_budget.h"
 #include "http/disconnect_monitor.h"
+#include "http/lingering_connections.h"
 #include "http/server_exchange.h"
 
 namespace parsleyquay {
 
+struct ServerConnection;
+
 // An HTTP/1.1 server, built on libmicrohttpd and driven by the owner's event
 // loop.
 class HttpServer {
@@ -43,9 +46,12 @@
   std::size_t open_exchanges() const { return this->exchange_count; }
 
   // The number of client connections, including those that have not sent a
-  // complete request.
+  // complete request, and those whose last response may still be unread.
   std::size_t open_connections() const;
 
+  // The number of connections whose last response may still be unread.
+  std::size_t lingering_connections() const { return this->lingering.count(); }
+
   // Processes resumed connections on the next iteration of the loop.
   void ScheduleRun();
 
@@ -60,6 +66,7 @@
   HttpServer(EventLoop& loop, Handler handler, ClientBudget* budget);
   Result<void> Start(const std::string& address);
   void RunDaemon();
+  void OnConnectionClosed(MHD_Connection* connection);
   static MHD_Result OnAccess(void* self,
                              MHD_Connection* connection,
                              const char* url,
@@ -77,19 +84,20 @@
                            MHD_Connection* connection,
                            void** socket_context,
                            MHD_ConnectionNotificationCode code);
-  // Returns null without a budget.
-  ClientConnection* ClientOf(MHD_Connection* connection) const;
+  static ServerConnection& StateOf(MHD_Connection* connection);
   static void* OnUri(void* self, const char* uri, MHD_Connection* connection);
 
   EventLoop& event_loop;
   Handler handler;
   ClientBudget* client_budget = nullptr;
   DisconnectMonitor monitor;
+  LingeringConnections lingering;
   MHD_Daemon* daemon = nullptr;
   IoWatcher watcher;
   Timer timer;
   std::size_t exchange_count = 0;
   bool is_closing = false;
+  bool is_stopping = false;
 };
 
 }  // namespace parsleyquay
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -181,8 +181,10 @@
   if (*size > 0) {
     this->NoteProgress();
     if (this->is_response_complete) {
-      *size = 0;  // Nobody reads the rest of the body.
-      return MHD_YES;
+      // Nobody reads the rest of the body, but it remains limited.
+      this->received_body_bytes += std::exchange(*size, 0);
+      return this->received_body_bytes > this->max_body_bytes ? MHD_NO
+                                                              : MHD_YES;
     }
     if (!this->MayReceiveMore()) {
       this->Suspend();
--- a/tests/client_limits/client_limits_test.cc
+++ b/tests/client_limits/client_limits_test.cc
@@ -85,5 +85,48 @@
       timeouts, start + seconds(60)));
 }
 
+// Guards against a response that is cut because its reader is slow, and against
+// a reader that keeps its connection open for good.
+TEST_CASE("a connection lingers while its response is read") {
+  const LingeringTimeouts timeouts{
+      .idle = seconds(15), .silence = seconds(5), .discarding = seconds(30)};
+  const TimePoint start;
+  LingeringProgress progress{.progressed_at = start, .received_at = start};
+  std::size_t unacknowledged = 60'000;
+  TimePoint now = start;
+  while (unacknowledged > 10'000) {
+    now += seconds(14);
+    progress = UpdateLingeringProgress(progress, unacknowledged,
+                                       unacknowledged - 10'000, now);
+    unacknowledged -= 10'000;
+    CHECK_FALSE(HasLingeredTooLong(progress, timeouts, now));
+  }
+  const LingeringProgress stalled = UpdateLingeringProgress(
+      progress, unacknowledged, unacknowledged, now + seconds(15));
+  CHECK_FALSE(HasLingeredTooLong(stalled, timeouts, now + seconds(15)));
+  CHECK(HasLingeredTooLong(stalled, timeouts, now + seconds(16)));
+  now += seconds(14);
+  progress = UpdateLingeringProgress(progress, unacknowledged, 0, now);
+  CHECK_FALSE(HasLingeredTooLong(progress, timeouts, now + seconds(5)));
+  CHECK(HasLingeredTooLong(progress, timeouts, now + seconds(6)));
+}
+
+// Guards against an upload without end behind the response that rejected it.
+TEST_CASE("a client that sends on after its response is disconnected") {
+  const LingeringTimeouts timeouts{
+      .idle = seconds(15), .silence = seconds(5), .discarding = seconds(30)};
+  const TimePoint start;
+  LingeringProgress progress{.progressed_at = start, .received_at = start};
+  progress = UpdateLingeringProgress(progress, 1, 0, start);
+  progress.received_at = start + seconds(29);
+  CHECK_FALSE(HasLingeredTooLong(progress, timeouts, start + seconds(30)));
+  progress.received_at = start + seconds(31);
+  CHECK(HasLingeredTooLong(progress, timeouts, start + seconds(31)));
+  // Its own data do not replace reading the response.
+  const LingeringProgress unread{.progressed_at = start,
+                                 .received_at = start + seconds(16)};
+  CHECK(HasLingeredTooLong(unread, timeouts, start + seconds(16)));
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/promises/client_connections_test.cc
+++ b/tests/promises/client_connections_test.cc
@@ -246,5 +246,72 @@
   CHECK(gateway.LogHas("event=stop"));
 }
 
+// Returns whether the first response has arrived with its whole body.
+bool HasWholeResponse(const std::string& received,
+                      const std::string& status,
+                      std::size_t body_bytes) {
+  const std::size_t head_end = received.find("\r\n\r\n");
+  return received.starts_with("HTTP/1.1 " + status) &&
+         head_end != std::string::npos &&
+         received.size() >= head_end + 4 + body_bytes;
+}
+
+// Guards against a reset that cuts the responses of a terminating instance,
+// where clients send further requests and read slowly. The slower ones are
+// still reading when the instance accepts no connections any more.
+TEST_CASE("a terminating instance delivers responses to clients that send on") {
+  constexpr std::size_t kResponseBytes = 30'000;
+  constexpr int kClients = 12;
+  const std::size_t bytes_per_read = GENERATE(4'096, 250);
+  INFO(bytes_per_read << " bytes at a time");
+  OneGateway gateway(
+      ConfigurationWith("60s", "60s", "10s"), [](const RawRequest& request) {
+        const bool is_probe = RawHeader(request.head, "Request-Id") == "r-1";
+        return RawResponse{.bytes = SignedOkResponse(
+                               request, std::string(kResponseBytes, 'x')),
+                           .delay = milliseconds(is_probe ? 0 : 600)};
+      });
+  std::vector<RawConnection> clients;
+  const auto send_all = [&](const std::string& name) {
+    for (int i = 0; i < kClients; ++i) {
+      clients[static_cast<std::size_t>(i)].Send(
+          HeadFor("GET", "/safe/1", name + std::to_string(i), 10'000) + "\r\n");
+    }
+  };
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(gateway.request_address(0), 4'096);
+  }
+  send_all("a-");
+  gateway.RunFor(milliseconds(100));
+  send_all("b-");
+  gateway.process(0).Signal(SIGTERM);
+  for (const char* name : {"c-", "d-"}) {
+    gateway.RunFor(milliseconds(100));
+    send_all(name);
+  }
+  gateway.RunFor(milliseconds(500));
+  send_all("e-");
+  CHECK(gateway.Await(
+      [&] {
+        gateway.RunFor(milliseconds(20));
+        for (RawConnection& client : clients) {
+          client.Receive(bytes_per_read);
+        }
+        return std::ranges::all_of(clients, &RawConnection::has_read_end);
+      },
+      seconds(20)));
+  CHECK(std::ranges::count_if(clients, [](RawConnection& client) {
+          return HasWholeResponse(client.Receive(), "200", kResponseBytes);
+        }) == kClients);
+  // Requests behind the last response are not executed.
+  CHECK(std::ranges::all_of(
+      gateway.server("s-1").requests(), [](const RawRequest& request) {
+        const std::string id = RawHeader(request.head, "Request-Id");
+        return id == "r-1" || id.starts_with("a-");
+      }));
+  CHECK(gateway.Await([&] { return gateway.process(0).HasEnded(); }));
+  CHECK(gateway.process(0).exit_code() == 0);
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/support/raw_connection.cc
+++ b/tests/support/raw_connection.cc
@@ -5,14 +5,17 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <limits>
 #include <stdexcept>
 #include <utility>
 
 namespace parsleyquay {
 
-RawConnection::RawConnection(const std::string& address) {
+RawConnection::RawConnection(const std::string& address,
+                             int receive_buffer_bytes) {
   const std::size_t colon = address.find(':');
   sockaddr_in peer = {};
   peer.sin_family = AF_INET;
@@ -20,6 +23,10 @@
   peer.sin_port =
       htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
   this->socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_buffer_bytes > 0) {
+    setsockopt(this->socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+               sizeof(receive_buffer_bytes));
+  }
   if (connect(this->socket, reinterpret_cast<const sockaddr*>(&peer),
               sizeof(peer)) != 0) {
     this->Close();
@@ -37,22 +44,35 @@
       has_ended(other.has_ended) {}
 
 bool RawConnection::Send(std::string_view bytes) const {
-  return send(this->socket, bytes.data(), bytes.size(),
-              MSG_NOSIGNAL | MSG_DONTWAIT) ==
-         static_cast<ssize_t>(bytes.size());
+  return this->SendSome(bytes) == bytes.size();
+}
+
+std::size_t RawConnection::SendSome(std::string_view bytes) const {
+  const ssize_t sent = send(this->socket, bytes.data(), bytes.size(),
+                            MSG_NOSIGNAL | MSG_DONTWAIT);
+  return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
+void RawConnection::EndSending() const {
+  shutdown(this->socket, SHUT_WR);
 }
 
 const std::string& RawConnection::Receive() {
+  return this->Receive(std::numeric_limits<std::size_t>::max());
+}
+
+const std::string& RawConnection::Receive(std::size_t max_bytes) {
   std::array<char, 16 * 1024> buffer;
-  while (!this->has_ended) {
-    const ssize_t size =
-        recv(this->socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  while (!this->has_ended && max_bytes > 0) {
+    const ssize_t size = recv(this->socket, buffer.data(),
+                              std::min(buffer.size(), max_bytes), MSG_DONTWAIT);
     if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
       break;
     }
     this->has_ended = size <= 0;
     if (size > 0) {
       this->received.append(buffer.data(), static_cast<std::size_t>(size));
+      max_bytes -= static_cast<std::size_t>(size);
     }
   }
   return this->received;
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_TESTS_SUPPORT_RAW_CONNECTION_H_
 #define PARSLEYQUAY_TESTS_SUPPORT_RAW_CONNECTION_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -11,8 +12,10 @@
 class RawConnection {
  public:
   // Throws std::runtime_error if it cannot connect to `address`, an "ip:port"
-  // pair.
-  explicit RawConnection(const std::string& address);
+  // pair. A receive buffer of the given size, if not 0, makes the server wait
+  // until the test has received.
+  explicit RawConnection(const std::string& address,
+                         int receive_buffer_bytes = 0);
   ~RawConnection();
   RawConnection(RawConnection&& other) noexcept;
   RawConnection(const RawConnection&) = delete;
@@ -20,8 +23,18 @@
 
   // Returns whether all bytes were accepted by the socket.
   bool Send(std::string_view bytes) const;
+  // Returns how many of the bytes were accepted by the socket.
+  std::size_t SendSome(std::string_view bytes) const;
   // Returns all that has been received so far.
   const std::string& Receive();
+  // Receives at most that many bytes. Returns all that has been received so
+  // far.
+  const std::string& Receive(std::size_t max_bytes);
+  // Returns whether all that was received and read so far ended with the end of
+  // the connection.
+  bool has_read_end() const { return this->has_ended; }
+  // Ends the sending direction.
+  void EndSending() const;
   // Returns whether the server has closed the connection.
   bool HasEnded();
   void Close();
