http, gateway: Reject requests before giving up those at servers

Connections were closed from the limit on, those at work last, but still then; rejecting new requests and reading less began an eighth above it, which the resets kept from being reached. Besides, every unread response was charged with a whole socket buffer, and again with what the kernel measured.

At the limit the instance now reads less and rejects requests that no server has received, also those that wait in a queue. It closes connections that have nothing at stake, and those of clients that hardly read. Others are closed only above a margin that neither new requests nor new connections reach. Whoever leaves a queue asks for the memory of its call first; a buffered response is sent on while memory is short, since only that frees it. Unread responses of kept connections count as requests.

--- a/libraries/client_limits/client_limits.cc
+++ b/libraries/client_limits/client_limits.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace parsleyquay {
 
@@ -24,6 +25,15 @@
 constexpr std::size_t kDescriptorDivisor = 9;
 constexpr std::size_t kMarginDivisor = 8;
 
+// New connections are accepted in the first half of the margin of the memory.
+// The rest is for data that arrives in the same moment.
+constexpr std::uint64_t kAcceptMarginDivisor = 16;
+
+// A client at this rate needs over a minute to read what may be buffered for
+// it.
+constexpr double kSlowBytesPerSecond = 4'000;
+constexpr Duration kMinSampleInterval = seconds(2);
+
 // Socket buffers are a small part of the memory, within bounds that keep the
 // throughput of a link.
 constexpr std::uint64_t kSocketBufferDivisor = 1'024;
@@ -86,7 +96,22 @@
          Exceeds(usage.connections, limits.connections);
 }
 
+bool IsShortOfMemory(const ClientUsage& usage,
+                     const ClientLimits& limits,
+                     std::uint64_t additional_bytes) {
+  return Exceeds(usage.bytes + additional_bytes, limits.bytes);
+}
+
 bool IsFull(const ClientUsage& usage, const ClientLimits& limits) {
+  // Connections never exceed their margin, so that none with a request is
+  // closed for it.
+  const auto most_connections = WithMargin(limits.connections);
+  return (limits.bytes &&
+          usage.bytes > *limits.bytes + *limits.bytes / kAcceptMarginDivisor) ||
+         (most_connections && usage.connections >= *most_connections);
+}
+
+bool IsAboveMargin(const ClientUsage& usage, const ClientLimits& limits) {
   return Exceeds(usage.bytes, WithMargin(limits.bytes)) ||
          Exceeds(usage.connections, WithMargin(limits.connections));
 }
@@ -97,28 +122,32 @@
 
 std::vector<std::size_t> SelectConnectionsToClose(
     std::vector<ConnectionLoad> loads,
-    const ClientLimits& limits) {
+    const ClientLimits& limits,
+    bool is_memory_needed) {
   ClientUsage usage{.bytes = std::accumulate(
                         loads.begin(), loads.end(), std::uint64_t{0},
                         [](std::uint64_t sum, const ConnectionLoad& load) {
                           return sum + load.bytes;
                         }),
                     .connections = loads.size()};
-  if (!IsOverLimit(usage, limits)) {
+  if (!IsOverLimit(usage, limits) && !is_memory_needed) {
     return {};
   }
   std::ranges::sort(loads,
                     [](const ConnectionLoad& a, const ConnectionLoad& b) {
-                      if (a.phase != b.phase) {
-                        return a.phase == ConnectionPhase::kWaitsForClient;
-                      }
-                      return ByteSeconds(a) > ByteSeconds(b);
+                      return std::tuple(a.stake, a.phase, -ByteSeconds(a)) <
+                             std::tuple(b.stake, b.phase, -ByteSeconds(b));
                     });
   const ClientLimits target{.bytes = ClosingTarget(limits.bytes),
                             .connections = ClosingTarget(limits.connections)};
+  const bool is_above_margin = IsAboveMargin(usage, limits);
   std::vector<std::size_t> chosen;
   for (const ConnectionLoad& load : loads) {
-    if (!IsOverLimit(usage, target)) {
+    const bool is_request_lost = load.stake == ConnectionStake::kRequest;
+    const bool is_enough = is_request_lost
+                               ? !is_above_margin || !IsOverLimit(usage, limits)
+                               : !IsOverLimit(usage, target);
+    if (is_enough) {
       break;
     }
     usage.bytes -= load.bytes;
@@ -128,6 +157,16 @@
   return chosen;
 }
 
+std::optional<bool> IsClientSlow(const TransferSample& before,
+                                 const TransferSample& now) {
+  const Duration elapsed = now.at - before.at;
+  if (elapsed < kMinSampleInterval) {
+    return std::nullopt;
+  }
+  return static_cast<double>(now.bytes - before.bytes) <
+         kSlowBytesPerSecond * ToSeconds(elapsed);
+}
+
 bool HasTimedOut(const ConnectionProgress& progress,
                  const ClientTimeouts& timeouts,
                  TimePoint now) {
--- a/libraries/client_limits/client_limits.h
+++ b/libraries/client_limits/client_limits.h
@@ -37,12 +37,21 @@
   kWaitsForServer,
 };
 
+// What is lost if a connection is closed, in the order in which connections are
+// closed.
+enum class ConnectionStake {
+  kNothing,      // no server has received a request that is unanswered
+  kSlowRequest,  // a server has, and the client hardly sends or reads
+  kRequest,      // a server has
+};
+
 // What one client connection uses.
 struct ConnectionLoad {
   std::size_t index = 0;
   std::uint64_t bytes = 0;
   ConnectionPhase phase = ConnectionPhase::kWaitsForClient;
   Duration age = Duration(0);  // since the current request or pause began
+  ConnectionStake stake = ConnectionStake::kNothing;
 
   bool operator==(const ConnectionLoad&) const = default;
 };
@@ -56,24 +65,50 @@
 };
 
 // Returns whether clients use more than the limits permit, so that connections
-// are to be closed.
+// with nothing at stake are to be closed.
 bool IsOverLimit(const ClientUsage& usage, const ClientLimits& limits);
 
-// Returns whether nothing more may be received from clients, or accepted,
-// before connections have been closed. The margin above the limits is for what
-// arrives meanwhile.
+// Returns whether clients would exceed the memory that is for them if they used
+// the additional bytes. If so, no more is received for them, and requests that
+// no server has received are rejected.
+bool IsShortOfMemory(const ClientUsage& usage,
+                     const ClientLimits& limits,
+                     std::uint64_t additional_bytes = 0);
+
+// Returns whether no new connection may be accepted. New ones are accepted a
+// little above the limits, so that their requests can be rejected.
 bool IsFull(const ClientUsage& usage, const ClientLimits& limits);
 
+// Returns whether clients use so much more than the limits permit that
+// connections are to be closed although requests are lost by that.
+bool IsAboveMargin(const ClientUsage& usage, const ClientLimits& limits);
+
 // Returns whether clients use more than half of the memory that is for them, so
 // that responses should not be buffered beyond need.
 bool IsMemoryTight(const ClientUsage& usage, const ClientLimits& limits);
 
-// Returns the indices of the connections to close, so that the rest is below
-// the limits. Chosen first are those that wait for their client and have held
-// the most memory for the longest time (bytes times age).
+// Returns the indices of the connections to close. Above the limits, or if
+// memory is needed for new requests, chosen are those with nothing at stake and
+// those of slow clients, so that the rest is below the limits; others only
+// above the margin. Chosen first in each group are those that wait for their
+// client and have held the most memory for the longest time (bytes times age).
 std::vector<std::size_t> SelectConnectionsToClose(
     std::vector<ConnectionLoad> loads,
-    const ClientLimits& limits);
+    const ClientLimits& limits,
+    bool is_memory_needed = false);
+
+// How much a client had sent and acknowledged at a time.
+struct TransferSample {
+  TimePoint at;
+  std::uint64_t bytes = 0;
+
+  bool operator==(const TransferSample&) const = default;
+};
+
+// Returns whether a client that was waited for all the time was slow between
+// the samples, or std::nullopt if they are too close.
+std::optional<bool> IsClientSlow(const TransferSample& before,
+                                 const TransferSample& now);
 
 // How long clients may take.
 struct ClientTimeouts {
--- a/libraries/gateway/proxied_request.cc
+++ b/libraries/gateway/proxied_request.cc
@@ -76,11 +76,12 @@
   this->exchange->SetHandlers(
       {.on_body = call(&ProxiedRequest::BufferBody),
        .on_writable = call(&ProxiedRequest::OnClientWritable),
-       .on_closed = call(&ProxiedRequest::OnClientDisconnected)});
+       .on_closed = call(&ProxiedRequest::OnClientDisconnected),
+       .on_reject = call(&ProxiedRequest::RejectForMemory)});
   this->request_id = HeaderValueOrEmpty(
       this->exchange->headers(), this->context.protocol.request_id_header);
-  if (!this->exchange->MayReceiveMore()) {
-    this->RespondWithError({ErrorReason::kOutOfMemory, kDefaultRetryAfter});
+  if (!this->exchange->HasRoomFor(kCallBytes)) {
+    this->RejectForMemory();
     return;
   }
   this->routing = this->context.routing;
@@ -291,6 +292,10 @@
 }
 
 void ProxiedRequest::SendToAvailableServer() {
+  if (!this->may_have_executed && !this->exchange->HasRoomFor(kCallBytes)) {
+    this->RejectForMemory();
+    return;
+  }
   const auto reservation =
       this->dependencies.load_balancer.Acquire(this->MakeSelectionCriteria());
   if (reservation) {
@@ -323,6 +328,13 @@
   this->EndAttempt(AttemptResult::kStalled);
 }
 
+// Rejects the request if no server has received it.
+void ProxiedRequest::RejectForMemory() {
+  if (!this->is_closed && !this->attempt.call && !this->may_have_executed) {
+    this->RespondWithError({ErrorReason::kOutOfMemory, kDefaultRetryAfter});
+  }
+}
+
 // Waits for the deadline, or until the attempt exceeds the route's latency
 // target.
 void ProxiedRequest::StartTimer() {
--- a/libraries/gateway/proxied_request.h
+++ b/libraries/gateway/proxied_request.h
@@ -77,6 +77,7 @@
   void OnRateLimitDecision(const RateLimitDecision& decision);
   bool CanEndBeforeShutdown() const;
   bool RejectIfLeaving();
+  void RejectForMemory();
   ServerSelectionCriteria MakeSelectionCriteria() const;
   void SendToAnyServer();
   void SendToAvailableServer();
--- a/libraries/gateway/proxied_request_attempts.cc
+++ b/libraries/gateway/proxied_request_attempts.cc
@@ -50,6 +50,7 @@
 
 void ProxiedRequest::Send(ServerReservation reservation) {
   this->tried.insert(reservation.server);
+  this->exchange->SetPassedOn(true);
   this->attempt = Attempt{};
   this->attempt.reservation = std::move(reservation);
   if (this->tried.size() == 1) {
@@ -161,6 +162,8 @@
   const bool is_not_executed = attempt_result == AttemptResult::kShed ||
                                attempt_result == AttemptResult::kNeverSent;
   this->may_have_executed = this->may_have_executed || !is_not_executed;
+  this->exchange->SetPassedOn(this->may_have_executed);
+  this->UpdateHeldBytes();
   this->unreachable_count +=
       attempt_result == AttemptResult::kNeverSent ? 1 : 0;
   this->ReleaseServer(this->OutcomeOf(attempt_result));
--- a/libraries/gateway/proxied_request_response.cc
+++ b/libraries/gateway/proxied_request_response.cc
@@ -119,7 +119,7 @@
 bool ProxiedRequest::OnData(std::string_view data) {
   this->attempt.has_received_data = true;
   if (this->has_response_started) {
-    if (!this->exchange->has_room()) {
+    if (!this->exchange->has_room() || !this->exchange->MayReceiveMore()) {
       return false;
     }
     this->exchange->Write(data);
@@ -130,6 +130,14 @@
     return true;
   }
   if (!this->exchange->MayReceiveMore()) {
+    // Only sending it frees the memory of what is buffered.
+    const bool may_begin = !this->attempt.buffered_response.empty() &&
+                           this->is_body_relayed() &&
+                           !SuggestsNotExecuted(this->attempt.status);
+    if (may_begin) {
+      this->BeginResponse(
+          ParseUnsignedHeader(this->attempt.headers, "Content-Length"));
+    }
     return false;
   }
   this->attempt.buffered_response += data;
--- a/libraries/http/client_budget.cc
+++ b/libraries/http/client_budget.cc
@@ -24,19 +24,28 @@
 // timeouts are checked.
 constexpr Duration kCheckInterval = milliseconds(100);
 constexpr Duration kTimeoutCheckInterval = seconds(1);
+// Above the limits.
+constexpr Duration kUrgentCheckInterval = milliseconds(50);
+// After memory has become free for exchanges that wait for it.
+constexpr Duration kResumeDelay = milliseconds(5);
 constexpr Duration kReportInterval = seconds(1);
 // While less than half of the memory is in use.
 constexpr Duration kRareCheckInterval = seconds(1);
 
-// Returns the memory of the data in the kernel's buffers of the connection.
-std::uint64_t SocketBytes(int socket) {
+// The memory of the data in the kernel's buffers of a connection.
+struct SocketMemory {
+  std::uint64_t received_bytes = 0;
+  std::uint64_t unacknowledged_bytes = 0;
+};
+
+SocketMemory GetSocketMemory(int socket) {
   std::array<std::uint32_t, SK_MEMINFO_VARS> values = {};
   socklen_t size = sizeof(values);
   if (getsockopt(socket, SOL_SOCKET, SO_MEMINFO, values.data(), &size) != 0) {
-    return 0;
+    return {};
   }
-  return std::uint64_t{values[SK_MEMINFO_RMEM_ALLOC]} +
-         values[SK_MEMINFO_WMEM_QUEUED];
+  return {.received_bytes = values[SK_MEMINFO_RMEM_ALLOC],
+          .unacknowledged_bytes = values[SK_MEMINFO_WMEM_QUEUED]};
 }
 
 ConnectionPhase PhaseOf(const ClientConnection& connection) {
@@ -51,6 +60,8 @@
   switch (reason) {
     case ClosureReason::kLimit:
       return "limit";
+    case ClosureReason::kRequestLost:
+      return "request_lost";
     case ClosureReason::kRefused:
       return "refused";
     case ClosureReason::kTimeout:
@@ -79,7 +90,7 @@
 
 bool ClientBudget::MayAccept() {
   // A connection that is still to be closed counts until then.
-  if (this->is_full()) {
+  if (IsFull(this->usage(), this->limits())) {
     ++this->unreported[ClosureReason::kRefused];
     return false;
   }
@@ -126,20 +137,39 @@
   this->held_bytes += static_cast<std::uint64_t>(bytes);
   // NOTE: connections are not closed here, since this is called within
   // callbacks of libcurl, which must not be told to end other calls there.
-  if (!this->is_check_scheduled && IsOverLimit(this->usage(), this->limits())) {
-    this->is_check_scheduled = true;
-    this->early_check.StartOnce(Duration(0));
+  const ClientUsage usage = this->usage();
+  if (IsAboveMargin(usage, this->limits())) {
+    this->ScheduleCheck(Duration(0));
+  } else if (IsOverLimit(usage, this->limits())) {
+    this->ScheduleCheck(kUrgentCheckInterval);
+  } else if (bytes < 0 && this->has_waiting_exchanges) {
+    this->ScheduleCheck(kResumeDelay);
+  }
+}
+
+// Checks after the delay, or sooner if an earlier check is scheduled.
+void ClientBudget::ScheduleCheck(Duration delay) {
+  const TimePoint time = this->loop.Now() + delay;
+  if (!this->early_check_at || time < *this->early_check_at) {
+    this->early_check_at = time;
+    this->early_check.StartOnce(delay);
   }
 }
 
 bool ClientBudget::MustWait() {
-  const bool must_wait = this->is_full();
+  const bool must_wait = IsShortOfMemory(this->usage(), this->limits());
   this->has_waiting_exchanges = this->has_waiting_exchanges || must_wait;
   return must_wait;
 }
 
+bool ClientBudget::HasRoomFor(std::uint64_t bytes) {
+  const bool has_room = !IsShortOfMemory(this->usage(), this->limits(), bytes);
+  this->is_memory_needed = this->is_memory_needed || !has_room;
+  return has_room;
+}
+
 void ClientBudget::Check() {
-  this->is_check_scheduled = false;
+  this->early_check_at.reset();
   if (this->loop.Now() - this->timeouts_checked_at >= kTimeoutCheckInterval) {
     this->timeouts_checked_at = this->loop.Now();
     this->CloseTimedOut();
@@ -148,19 +178,23 @@
   const std::uint64_t most_socket_bytes =
       this->connections.size() * 2 *
       this->limits().socket_buffer_bytes.value_or(0);
+  const ClientUsage usage = this->usage();
   const ClientUsage most{
-      .bytes = this->usage().bytes - this->socket_bytes + most_socket_bytes,
-      .connections = this->connections.size()};
+      .bytes = usage.bytes - this->socket_bytes + most_socket_bytes,
+      .connections = usage.connections};
   const bool is_urgent =
-      this->is_memory_tight() || IsOverLimit(this->usage(), this->limits());
-  const Duration interval = is_urgent ? Duration(0) : kRareCheckInterval;
-  if (!IsOverLimit(most, this->limits())) {
+      this->is_memory_tight() || IsOverLimit(usage, this->limits());
+  const Duration interval = IsAboveMargin(usage, this->limits()) ? Duration(0)
+                            : is_urgent ? kUrgentCheckInterval
+                                        : kRareCheckInterval;
+  if (!IsOverLimit(most, this->limits()) && !this->is_memory_needed) {
     this->socket_bytes = 0;
   } else if (this->loop.Now() - this->measured_at >= interval) {
     this->measured_at = this->loop.Now();
-    this->CloseSlowest();
+    this->FreeMemory();
   }
-  if (this->has_waiting_exchanges && !this->is_full()) {
+  if (this->has_waiting_exchanges &&
+      !IsShortOfMemory(this->usage(), this->limits())) {
     this->has_waiting_exchanges = false;
     for (const ClientConnection& connection : this->connections) {
       if (connection.exchange) {
@@ -182,29 +216,92 @@
   }
 }
 
-void ClientBudget::CloseSlowest() {
+// Measures the socket buffers, and rejects requests and closes connections if
+// that is necessary.
+void ClientBudget::FreeMemory() {
+  const TimePoint now = this->loop.Now();
   std::vector<ClientConnection*> candidates;
   std::vector<ConnectionLoad> loads;
   this->socket_bytes = 0;
   for (ClientConnection& connection : this->connections) {
-    const std::uint64_t socket_bytes =
-        this->limits().bytes ? SocketBytes(connection.socket) : 0;
-    this->socket_bytes += socket_bytes;
+    const SocketMemory memory = this->limits().bytes
+                                    ? GetSocketMemory(connection.socket)
+                                    : SocketMemory{};
+    // What the exchange was charged for its socket is not counted twice.
+    const std::uint64_t charged_bytes =
+        connection.exchange ? connection.exchange->charged_socket_bytes() : 0;
+    const std::uint64_t measured_bytes =
+        memory.received_bytes + memory.unacknowledged_bytes;
+    const std::uint64_t uncharged_bytes =
+        measured_bytes - std::min(measured_bytes, charged_bytes);
+    this->socket_bytes += uncharged_bytes;
     if (connection.is_closing) {
       continue;
     }
     const std::uint64_t held_bytes =
         connection.exchange ? connection.exchange->charged_bytes() : 0;
-    loads.push_back({.index = candidates.size(),
-                     .bytes = kConnectionBytes + held_bytes + socket_bytes,
-                     .phase = PhaseOf(connection),
-                     .age = this->loop.Now() - connection.began_at});
+    loads.push_back(
+        {.index = candidates.size(),
+         .bytes = kConnectionBytes + held_bytes + uncharged_bytes,
+         .phase = PhaseOf(connection),
+         .age = now - connection.began_at,
+         .stake = this->StakeOf(connection, memory.unacknowledged_bytes > 0)});
     candidates.push_back(&connection);
   }
+  const bool is_memory_needed = std::exchange(this->is_memory_needed, false);
   for (const std::size_t index :
-       SelectConnectionsToClose(std::move(loads), this->limits())) {
-    this->Close(*candidates[index], ClosureReason::kLimit);
+       SelectConnectionsToClose(loads, this->limits(), is_memory_needed)) {
+    this->GiveUp(*candidates[index], loads[index].stake);
+  }
+}
+
+// Returns what is lost if the connection is closed now. Updates the sample of
+// what its client has transferred.
+ConnectionStake ClientBudget::StakeOf(ClientConnection& connection,
+                                      bool has_unread_response) const {
+  const ServerExchange* exchange = connection.exchange;
+  const bool has_request =
+      has_unread_response || (exchange && exchange->is_passed_on());
+  const bool waits_for_client =
+      has_unread_response || (exchange && !exchange->is_suspended);
+  if (!has_request || !waits_for_client) {
+    connection.sample.reset();
+    connection.is_slow = false;
+    return has_request ? ConnectionStake::kRequest : ConnectionStake::kNothing;
+  }
+  const TimePoint now = this->loop.Now();
+  const auto counts = GetTransferCounts(connection.socket);
+  if (!counts) {
+    // Only the exchange's own progress is known.
+    connection.is_slow =
+        IsClientSlow({.at = connection.progressed_at}, {.at = now})
+            .value_or(false);
+  } else {
+    const TransferSample sample{
+        .at = now,
+        .bytes = counts->received_bytes + counts->acknowledged_bytes};
+    if (!connection.sample) {
+      connection.sample = sample;
+    }
+    if (const auto is_slow = IsClientSlow(*connection.sample, sample)) {
+      connection.is_slow = *is_slow;
+      connection.sample = sample;
+    }
+  }
+  return connection.is_slow ? ConnectionStake::kSlowRequest
+                            : ConnectionStake::kRequest;
+}
+
+// Rejects the request of the connection if no server has received it, and
+// otherwise closes the connection.
+void ClientBudget::GiveUp(ClientConnection& connection, ConnectionStake stake) {
+  if (stake == ConnectionStake::kNothing && connection.exchange &&
+      connection.exchange->Reject()) {
+    return;
   }
+  this->Close(connection, stake == ConnectionStake::kRequest
+                              ? ClosureReason::kRequestLost
+                              : ClosureReason::kLimit);
 }
 
 void ClientBudget::CloseTimedOut() {
@@ -265,7 +362,7 @@
   // otherwise keep until a client that does not read has read it. A client that
   // is only idle can still read its last response.
   const bool discards =
-      reason == ClosureReason::kLimit || connection.exchange != nullptr;
+      reason != ClosureReason::kTimeout || connection.exchange != nullptr;
   if (discards) {
     DiscardUnsent(connection.socket);
   }
--- a/libraries/http/client_budget.h
+++ b/libraries/http/client_budget.h
@@ -28,6 +28,10 @@
   std::optional<TimePoint> header_seen_at;  // see ConnectionProgress
   // Bytes that the client had acknowledged at the last check of its timeouts.
   std::optional<std::uint64_t> acknowledged_before;
+  // While memory is short: what the client had transferred when it was first
+  // waited for, and whether it was slow since.
+  std::optional<TransferSample> sample;
+  bool is_slow = false;
   bool is_closing = false;
   bool is_lingering = false;                   // see LingeringConnections
   std::list<ClientConnection>::iterator self;  // in the budget's list
@@ -35,17 +39,21 @@
 
 // Why connections are closed.
 enum class ClosureReason {
-  kLimit,    // the slowest ones, since the limits were exceeded
-  kRefused,  // new ones, above the margin of the limits
+  kLimit,  // those without a request at a server, and the slowest ones, since
+           // the limits were exceeded
+  kRequestLost,  // those with a request at a server, above the margin
+  kRefused,      // new ones, above the limits
   kTimeout,
 };
 
-// "limit", "refused" or "timeout".
+// "limit", "request_lost", "refused" or "timeout".
 std::string_view ClosureReasonName(ClosureReason reason);
 
 // Keeps the memory and the connections of all clients of the process, at all
-// its HttpServers, within limits: closes connections when they are exceeded,
-// and those whose clients are too slow.
+// its HttpServers, within limits. When they are reached, it first makes the
+// servers receive less, then rejects requests that have not been passed on and
+// closes connections without a request; what has been passed on is only given
+// up above a margin. Closes connections whose clients are too slow.
 class ClientBudget {
  public:
   // Reports connections that were closed, at most once in a second.
@@ -77,7 +85,9 @@
   // Returns whether nothing more may be received for now. If not, the exchange
   // is told by ContinueWithinBudget() when it may.
   bool MustWait();
-  bool is_full() const { return IsFull(this->usage(), this->own_limits); }
+  // Returns whether there is memory for a request that needs the given bytes.
+  // If not, connections are closed for later ones.
+  bool HasRoomFor(std::uint64_t bytes);
   bool is_memory_tight() const {
     return IsMemoryTight(this->usage(), this->own_limits);
   }
@@ -88,7 +98,11 @@
 
  private:
   void Check();
-  void CloseSlowest();
+  void ScheduleCheck(Duration delay);
+  void FreeMemory();
+  ConnectionStake StakeOf(ClientConnection& connection,
+                          bool has_unread_response) const;
+  void GiveUp(ClientConnection& connection, ConnectionStake stake);
   void CloseTimedOut();
   void UpdateProgress(ClientConnection& connection, TimePoint now) const;
   void Close(ClientConnection& connection, ClosureReason reason);
@@ -105,8 +119,9 @@
   TimePoint reported_at;
   TimePoint measured_at;  // the socket buffers
   TimePoint timeouts_checked_at;
-  bool is_check_scheduled = false;
+  std::optional<TimePoint> early_check_at;  // unset: none is scheduled
   bool has_waiting_exchanges = false;
+  bool is_memory_needed = false;  // a request was rejected since the last check
   Timer regular_check;
   Timer early_check;
 };
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -63,18 +63,24 @@
   if (!this->client) {
     return;
   }
-  // The socket's buffers fill while nothing is read, or a response is not.
+  // The socket's buffers fill while nothing is read, or a response is not. The
+  // kernel's own overhead at most doubles what is left of a complete response.
   const std::size_t socket_buffer_bytes =
       this->server.budget()->limits().socket_buffer_bytes.value_or(0);
   const bool fills_receive_buffer =
       this->is_suspended && !this->is_upload_complete;
   const bool fills_send_buffer =
       this->has_response && !this->response_buffer.empty();
-  const std::size_t bytes =
-      this->header_bytes + this->request_buffer.capacity() +
-      this->response_buffer.capacity() + this->held_bytes +
-      (fills_receive_buffer ? socket_buffer_bytes : 0) +
-      (fills_send_buffer ? socket_buffer_bytes : 0);
+  const std::size_t unsent_bytes =
+      this->is_response_complete
+          ? std::min(socket_buffer_bytes, 2 * this->response_buffer.size())
+          : socket_buffer_bytes;
+  this->charged_socket = (fills_receive_buffer ? socket_buffer_bytes : 0) +
+                         (fills_send_buffer ? unsent_bytes : 0);
+  const std::size_t bytes = this->header_bytes +
+                            this->request_buffer.capacity() +
+                            this->response_buffer.capacity() +
+                            this->held_bytes + this->charged_socket;
   if (bytes != this->charged) {
     const std::size_t before = std::exchange(this->charged, bytes);
     this->server.budget()->Charge(static_cast<std::int64_t>(bytes) -
@@ -100,6 +106,19 @@
   return !must_wait;
 }
 
+bool ServerExchange::HasRoomFor(std::size_t bytes) {
+  return !this->client || this->server.budget()->HasRoomFor(bytes);
+}
+
+bool ServerExchange::Reject() {
+  if (this->has_response || !this->handlers.on_reject) {
+    return false;
+  }
+  const auto on_reject = this->handlers.on_reject;
+  on_reject();
+  return this->has_response;
+}
+
 bool ServerExchange::is_memory_tight() const {
   return this->client && this->server.budget()->is_memory_tight();
 }
@@ -284,6 +303,7 @@
   if (this->client) {
     this->server.budget()->Charge(-static_cast<std::int64_t>(this->charged));
     this->charged = 0;
+    this->charged_socket = 0;
     this->client = nullptr;
   }
 }
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -21,6 +21,9 @@
   std::function<void()> on_body;      // request data arrived, or the body ended
   std::function<void()> on_writable;  // the response buffer has room
   std::function<void()> on_closed;    // connection ended before the response
+  // The memory of the exchange is needed, and it was not passed on. The owner
+  // responds with a rejection.
+  std::function<void()> on_reject;
 };
 
 // One request that the server has received, with its headers, streamed body and
@@ -83,6 +86,13 @@
   // Returns whether the owner may receive more for this exchange now. If not,
   // `on_writable` is called when it may.
   bool MayReceiveMore();
+  // Returns whether there is memory for this exchange to use so much more.
+  bool HasRoomFor(std::size_t bytes);
+  // States whether a server may have received the request.
+  void SetPassedOn(bool is_passed_on) {
+    this->has_been_passed_on = is_passed_on;
+  }
+  bool is_passed_on() const { return this->has_been_passed_on; }
   // Returns whether the memory for clients is scarce.
   bool is_memory_tight() const;
 
@@ -93,6 +103,8 @@
   }
   // Returns the memory that the exchange and its owner hold.
   std::size_t charged_bytes() const { return this->charged; }
+  // Returns the part of it that stands for the buffers of the socket.
+  std::size_t charged_socket_bytes() const { return this->charged_socket; }
 
   bool has_begun_response() const { return this->has_response; }
   bool is_closed() const { return this->is_connection_closed; }
@@ -104,6 +116,9 @@
   // Ends the exchange, since its connection has been or is being closed.
   void OnConnectionLost();
   void ContinueWithinBudget();
+  // Lets the owner reject the request. Returns false, and does nothing, if it
+  // cannot.
+  bool Reject();
   void UpdateCharge();
   void NoteProgress();
   void DiscardUpload();
@@ -139,9 +154,11 @@
 
   std::uint64_t max_body_bytes = UINT64_MAX;
   std::uint64_t received_body_bytes = 0;
-  std::size_t header_bytes = 0;  // memory of the headers and of their copies
-  std::size_t held_bytes = 0;    // by the owner
-  std::size_t charged = 0;       // to the budget
+  std::size_t header_bytes = 0;    // memory of the headers and of their copies
+  std::size_t held_bytes = 0;      // by the owner
+  std::size_t charged = 0;         // to the budget
+  std::size_t charged_socket = 0;  // part of `charged`
+  bool has_been_passed_on = false;
   bool is_waiting_for_budget = false;
 };
 
--- a/tests/client_limits/client_limits_test.cc
+++ b/tests/client_limits/client_limits_test.cc
@@ -85,6 +85,81 @@
       timeouts, start + seconds(60)));
 }
 
+// Load: a burst of requests that servers work on, above the limit. Guards
+// against giving up what could still be answered, instead of receiving less.
+TEST_CASE("requests at servers are only given up above the margin") {
+  std::vector<ConnectionLoad> loads(8,
+                                    {.bytes = 110,
+                                     .phase = ConnectionPhase::kWaitsForServer,
+                                     .age = seconds(1),
+                                     .stake = ConnectionStake::kRequest});
+  for (std::size_t i = 0; i < loads.size(); ++i) {
+    loads[i].index = i;
+  }
+  CHECK(IsOverLimit({.bytes = 880, .connections = 8}, kLimits));
+  CHECK(SelectConnectionsToClose(loads, kLimits).empty());
+  loads[3].bytes = 160;
+  loads[3].phase = ConnectionPhase::kWaitsForClient;
+  CHECK(SelectConnectionsToClose(loads, kLimits) ==
+        std::vector<std::size_t>{3});
+  // A connection without a request is closed first, and may suffice.
+  loads[5] = {.index = 5, .bytes = 300, .age = seconds(1)};
+  CHECK(SelectConnectionsToClose(loads, kLimits) ==
+        std::vector<std::size_t>{5, 3});
+  loads[3].bytes = 60;
+  CHECK(SelectConnectionsToClose(loads, kLimits) ==
+        std::vector<std::size_t>{5});
+}
+
+// Load: clients that read next to nothing of their responses, among others.
+TEST_CASE("requests of slow clients are given up at the limit") {
+  const std::vector<ConnectionLoad> loads = {
+      {.index = 0,
+       .bytes = 400,
+       .age = seconds(9),
+       .stake = ConnectionStake::kRequest},
+      {.index = 1,
+       .bytes = 300,
+       .age = seconds(3),
+       .stake = ConnectionStake::kSlowRequest},
+      {.index = 2, .bytes = 110, .age = seconds(3)}};
+  CHECK(SelectConnectionsToClose(loads, kLimits) ==
+        std::vector<std::size_t>{2});
+  auto more = loads;
+  more[2].bytes = 104;
+  CHECK(SelectConnectionsToClose(more, kLimits) == std::vector<std::size_t>{2});
+  more[0].bytes = 600;
+  CHECK(SelectConnectionsToClose(more, kLimits) ==
+        std::vector<std::size_t>{2, 1});
+  // Within the limit, only to make room for requests that were rejected.
+  more[0].bytes = 350;
+  CHECK(SelectConnectionsToClose(more, kLimits).empty());
+  CHECK(SelectConnectionsToClose(more, kLimits, true) ==
+        std::vector<std::size_t>{2});
+  const TimePoint start;
+  const TransferSample before{.at = start, .bytes = 1'000};
+  CHECK_FALSE(IsClientSlow(before, {.at = start + seconds(1), .bytes = 1'000}));
+  CHECK(IsClientSlow(before, {.at = start + seconds(2), .bytes = 1'500}) ==
+        true);
+  CHECK(IsClientSlow(before, {.at = start + seconds(2), .bytes = 60'000}) ==
+        false);
+}
+
+// Guards against clients that make an instance give up requests by connecting.
+TEST_CASE("new requests and connections are refused below the margin") {
+  const ClientUsage at_limit{.bytes = 800, .connections = 8};
+  CHECK_FALSE(IsShortOfMemory(at_limit, kLimits));
+  CHECK(IsShortOfMemory(at_limit, kLimits, 1));
+  CHECK_FALSE(IsFull(at_limit, kLimits));
+  const ClientUsage accepting{.bytes = 850, .connections = 8};
+  CHECK_FALSE(IsFull(accepting, kLimits));
+  CHECK_FALSE(IsAboveMargin({.bytes = 850 + 24, .connections = 9}, kLimits));
+  CHECK(IsFull({.bytes = 851, .connections = 8}, kLimits));
+  CHECK(IsAboveMargin({.bytes = 901, .connections = 8}, kLimits));
+  CHECK(IsFull({.bytes = 100, .connections = 9}, kLimits));
+  CHECK_FALSE(IsAboveMargin({.bytes = 100, .connections = 9}, kLimits));
+}
+
 // Guards against a response that is cut because its reader is slow, and against
 // a reader that keeps its connection open for good.
 TEST_CASE("a connection lingers while its response is read") {
--- a/tests/promises/client_connections_test.cc
+++ b/tests/promises/client_connections_test.cc
@@ -313,5 +313,138 @@
   CHECK(gateway.process(0).exit_code() == 0);
 }
 
+// Guards against giving up requests that a server has received. All clients
+// have kept connections, and their requests need more memory than there is.
+TEST_CASE("requests at servers are answered while memory is exhausted") {
+  constexpr int kClients = 175;
+  constexpr int kClientsPerStep = 10;
+  const std::size_t response_bytes = GENERATE(400, 60'000);
+  const std::string method = GENERATE("POST", "GET");
+  INFO(method << " with responses of " << response_bytes << " bytes");
+  OneGateway gateway(
+      ConfigurationWith("60s", "60s", "10s"),
+      [&](const RawRequest& request) {
+        const bool is_probe = RawHeader(request.head, "Request-Id") == "r-1";
+        return RawResponse{.bytes = SignedOkResponse(
+                               request, std::string(response_bytes, 'x')),
+                           .delay = milliseconds(is_probe ? 0 : 1'500)};
+      },
+      "memory = 64\n");
+  std::vector<RawConnection> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(gateway.request_address(0));
+  }
+  gateway.RunFor(milliseconds(200));
+  for (int i = 0; i < kClients; ++i) {
+    const bool has_body = method == "POST";
+    // The connection may be closed before it has a request.
+    clients[static_cast<std::size_t>(i)].Send(
+        HeadFor(method, has_body ? "/once/1" : "/safe/1",
+                "m-" + std::to_string(i), 10'000) +
+        (has_body ? "Content-Length: 400\r\n\r\n" + std::string(400, 'b')
+                  : "\r\n"));
+    if (i % kClientsPerStep == 0) {
+      gateway.RunFor(milliseconds(20));
+    }
+  }
+  const auto is_whole = [&](RawConnection& client) {
+    return HasWholeResponse(client.Receive(), "200", response_bytes);
+  };
+  const auto is_rejected = [](RawConnection& client) {
+    const std::string& response = client.Receive();
+    return response.starts_with("HTTP/1.1 503") &&
+           response.find(R"("outcome":"not_run")") != std::string::npos;
+  };
+  gateway.Await(
+      [&] {
+        return std::ranges::all_of(clients, [&](RawConnection& client) {
+          return client.HasEnded() || is_rejected(client) || is_whole(client);
+        });
+      },
+      seconds(20));
+  std::set<std::string> received;
+  for (const RawRequest& request : gateway.server("s-1").requests()) {
+    received.insert(RawHeader(request.head, "Request-Id"));
+  }
+  int answered = 0;
+  int rejected = 0;
+  int lost = 0;
+  int executed_though_rejected = 0;
+  for (int i = 0; i < kClients; ++i) {
+    RawConnection& client = clients[static_cast<std::size_t>(i)];
+    const bool is_at_server = received.contains("m-" + std::to_string(i));
+    answered += is_whole(client) ? 1 : 0;
+    rejected += is_rejected(client) ? 1 : 0;
+    lost += is_at_server && !is_whole(client) ? 1 : 0;
+    executed_though_rejected += is_at_server && is_rejected(client) ? 1 : 0;
+  }
+  INFO(answered << " answered, " << rejected << " rejected, " << lost
+                << " received by the server but not answered");
+  CHECK(lost == 0);
+  CHECK(executed_though_rejected == 0);
+  CHECK(answered > 0);
+  CHECK(answered < kClients);
+  CHECK_FALSE(gateway.process(0).HasEnded());
+}
+
+// Guards against giving up uploads that a server is receiving, instead of
+// reading less of them, when a crowd of requests exhausts the memory.
+TEST_CASE("uploads at servers are completed while memory is exhausted") {
+  constexpr int kUploads = 20;
+  constexpr int kClients = 175;
+  constexpr std::size_t kBodyBytes = 300'000;
+  constexpr std::size_t kBytesPerStep = 20'000;
+  OneGateway gateway(
+      ConfigurationWith("60s", "60s", "20s"),
+      [](const RawRequest& request) {
+        const bool is_crowd =
+            RawHeader(request.head, "Request-Id").starts_with("m-");
+        return RawResponse{.bytes = SignedOkResponse(request, "fine"),
+                           .delay = milliseconds(is_crowd ? 1'500 : 0)};
+      },
+      "memory = 64\n");
+  std::vector<RawConnection> uploads;
+  std::vector<std::string> unsent(kUploads, std::string(kBodyBytes, 'b'));
+  const auto send_step = [&] {
+    for (std::size_t i = 0; i < uploads.size(); ++i) {
+      unsent[i].erase(0, uploads[i].SendSome(std::string_view(unsent[i]).substr(
+                             0, kBytesPerStep)));
+    }
+  };
+  for (int i = 0; i < kUploads; ++i) {
+    uploads.emplace_back(gateway.request_address(0));
+    REQUIRE(uploads.back().Send(
+        HeadFor("POST", "/once/1", "u-" + std::to_string(i), 20'000) +
+        "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n"));
+  }
+  // Until more has arrived than is buffered, and all of them are passed on.
+  REQUIRE(gateway.Await([&] {
+    if (unsent.front().size() > kBodyBytes / 2) {
+      send_step();
+    }
+    return gateway.server("s-1").open_connections() >= kUploads;
+  }));
+  std::vector<RawConnection> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(gateway.request_address(0));
+    clients.back().Send(
+        HeadFor("GET", "/safe/1", "m-" + std::to_string(i), 10'000) + "\r\n");
+  }
+  CHECK(gateway.Await(
+      [&] {
+        send_step();
+        return std::ranges::all_of(uploads, [](RawConnection& upload) {
+          return upload.HasEnded() || !upload.Receive().empty();
+        });
+      },
+      seconds(20)));
+  CHECK(std::ranges::count_if(uploads, [](RawConnection& upload) {
+          return upload.Receive().starts_with("HTTP/1.1 200");
+        }) == kUploads);
+  CHECK(std::ranges::any_of(clients, [](RawConnection& client) {
+    return client.HasEnded() || client.Receive().starts_with("HTTP/1.1 503");
+  }));
+}
+
 }  // namespace
 }  // namespace parsleyquay
