http: End the header timeout when the headers are complete

A connection whose headers were incomplete at one of the checks, one a second, kept `header_seen_at` until the end of the request, so that the header timeout applied to the body and the response whenever the exchange waited for the client. The exchange now resets it when it begins, which is when the headers are complete; `idle_timeout` bounds the rest.

The test of clients that never complete their headers is unchanged and passes.

--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -52,6 +52,7 @@
   if (this->client) {
     this->client->exchange = this;
     this->client->began_at = server.loop().Now();
+    this->client->header_seen_at.reset();  // The headers are complete.
     this->header_bytes = MemoryOf(this->request_headers);
     this->UpdateCharge();
   }
--- a/tests/promises/client_connections_test.cc
+++ b/tests/promises/client_connections_test.cc
@@ -313,6 +313,44 @@
   CHECK(gateway.process(0).exit_code() == 0);
 }
 
+// Guards against the header timeout of a client that has sent its headers in
+// time, but not at once, and whose body or response then takes long.
+TEST_CASE("the header timeout ends with the headers") {
+  constexpr std::size_t kBytes = 400'000;
+  constexpr int kSteps = 25;
+  const bool is_upload = GENERATE(true, false);
+  INFO((is_upload ? "long body" : "long response"));
+  // The setting limits the socket buffers, which would take the response whole.
+  OneGateway gateway(
+      ConfigurationWith("2s", "60s", "20s"),
+      [](const RawRequest& request) {
+        return RawResponse{SignedOkResponse(request, std::string(kBytes, 'x'))};
+      },
+      "memory = 112\n");
+  RawConnection client(gateway.request_address(0), 4'096);
+  const std::string head =
+      is_upload ? HeadFor("POST", "/once/1", "r-2", 20'000) +
+                      "Content-Length: " + std::to_string(kBytes) + "\r\n\r\n"
+                : HeadFor("GET", "/safe/1", "r-2", 20'000) + "\r\n";
+  REQUIRE(client.Send(head.substr(0, 40)));
+  gateway.RunFor(milliseconds(1'500));
+  REQUIRE(client.Send(head.substr(40)));
+  // 5 s in all, longer than the header timeout and the interval of its checks.
+  std::string unsent = is_upload ? std::string(kBytes, 'b') : "";
+  for (int i = 0; i < kSteps; ++i) {
+    gateway.RunFor(milliseconds(200));
+    unsent.erase(0, client.SendSome(
+                        std::string_view(unsent).substr(0, kBytes / kSteps)));
+    client.Receive(kBytes / kSteps / 2);
+  }
+  gateway.Await([&] {
+    unsent.erase(0, client.SendSome(unsent));
+    return HasWholeResponse(client.Receive(), "200", kBytes) ||
+           client.has_read_end();
+  });
+  CHECK(HasWholeResponse(client.Receive(), "200", kBytes));
+}
+
 // Guards against giving up requests that a server has received. All clients
 // have kept connections, and their requests need more memory than there is.
 TEST_CASE("requests at servers are answered while memory is exhausted") {
