gateway: Use the fallback quota in one process per window only

The parts of the fallback quota add up only if each is used once in a window and all instances divide by the same number. A process that starts knows only itself until it has read the member records, and took the quota of the whole fleet; it also does not know what an earlier process of the instance has used. Either is enough. The quota is now used only by a process that has read the records and has run for longer than the window and the jitter of arrivals. Until then requests wait for an owner, as those do whose quota is used up.

Requests right after a restart of the whole fleet are no longer served in excess but wait for the new owners, whose buckets begin empty.

--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -159,6 +159,7 @@
 void DisseminationAgent::OnMemberChanges(
     const std::vector<MemberChange>& changes) {
   const TimePoint now = this->context.Now();
+  this->context.has_read_members = true;
   for (const MemberChange& change : changes) {
     if (change.name == this->context.settings.name) {
       this->context.has_previous_incarnation =
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -52,6 +52,8 @@
   // instance. If so, it lists the other members too: the fleet is not starting
   // for the first time.
   bool has_previous_incarnation = false;
+  // Whether the member records have been read from the store since the start.
+  bool has_read_members = false;
   // Null until the secret that all instances share is known.
   std::unique_ptr<PeerTransport> peer_transport;
   bool is_leaving = false;  // graceful shutdown has begun
--- a/libraries/gateway/workspace_rate_limiter.h
+++ b/libraries/gateway/workspace_rate_limiter.h
@@ -62,7 +62,8 @@
 // that reaches no owner decides by its fallback quota, which is its part of the
 // overshoot that the fleet limits tolerate. The parts of all instances add up
 // to that overshoot, so that the fleet keeps its limits during any network
-// partition.
+// partition. Each part is used by one process in a window, so that the limits
+// also hold when instances restart.
 class WorkspaceRateLimiter {
  public:
   using OnDecision = std::function<void(const RateLimitDecision&)>;
--- a/libraries/gateway/workspace_rate_limiter_requests.cc
+++ b/libraries/gateway/workspace_rate_limiter_requests.cc
@@ -68,13 +68,19 @@
     const std::string& workspace) {
   const RateLimitTolerance& tolerance =
       this->context.settings.bounds.rate_limit_tolerance;
+  const TimePoint now = this->context.Now();
+  if (!IsFallbackQuotaUsable(
+          {.started_at = this->started_at,
+           .has_read_members = this->context.has_read_members},
+          tolerance, now)) {
+    return {false, RateLimitSource::kFallbackQuota, kFallbackRetryAfter};
+  }
   const long quota = FallbackQuota(
       this->ConfigurationOf(workspace), tolerance,
       RankOfMember(this->context.members, this->context.settings.name),
       this->context.member_count());
-  const bool is_granted =
-      ConsumeFallbackQuota(this->fallback_uses[workspace], quota,
-                           tolerance.window, this->context.Now());
+  const bool is_granted = ConsumeFallbackQuota(this->fallback_uses[workspace],
+                                               quota, tolerance.window, now);
   return {is_granted, RateLimitSource::kFallbackQuota, kFallbackRetryAfter};
 }
 
--- a/libraries/rate_limiting/fallback_quota.cc
+++ b/libraries/rate_limiting/fallback_quota.cc
@@ -27,6 +27,13 @@
   return IntegerShare(total_quota, rank, instance_count);
 }
 
+bool IsFallbackQuotaUsable(const FallbackQuotaKnowledge& knowledge,
+                           const RateLimitTolerance& tolerance,
+                           TimePoint now) {
+  return knowledge.has_read_members &&
+         now - knowledge.started_at > tolerance.window + kArrivalJitter;
+}
+
 bool ConsumeFallbackQuota(SlidingWindow& used,
                           long quota,
                           Duration window,
--- a/libraries/rate_limiting/fallback_quota.h
+++ b/libraries/rate_limiting/fallback_quota.h
@@ -25,6 +25,22 @@
                    std::size_t rank,
                    std::size_t instance_count);
 
+// What an instance knows that uses its quota.
+struct FallbackQuotaKnowledge {
+  TimePoint started_at;           // of this process
+  bool has_read_members = false;  // which other instances there are
+
+  bool operator==(const FallbackQuotaKnowledge&) const = default;
+};
+
+// Returns whether an instance may use its quota. A process that has just
+// started does not know what an earlier one of the same instance has admitted
+// in this window, nor the instances that start at the same time. Before it has
+// read which instances there are, it would use the quotas of all of them.
+bool IsFallbackQuotaUsable(const FallbackQuotaKnowledge& knowledge,
+                           const RateLimitTolerance& tolerance,
+                           TimePoint now);
+
 // Admits one request if fewer than `quota` have been admitted in the window.
 // Returns whether it did. `used` holds the times of the admitted requests.
 bool ConsumeFallbackQuota(SlidingWindow& used,
--- a/tests/rate_limiting/rate_limiting_test.cc
+++ b/tests/rate_limiting/rate_limiting_test.cc
@@ -104,6 +104,20 @@
   }
 }
 
+// Guards against quotas that are used twice: by an earlier process of the
+// instance in the same window, or by instances that know no others yet.
+TEST_CASE("a process that has just started uses no fallback quota") {
+  const auto is_usable = [](bool has_read_members, Duration since_start) {
+    return IsFallbackQuotaUsable(
+        {.started_at = kStart, .has_read_members = has_read_members},
+        kTolerance, kStart + since_start);
+  };
+  CHECK_FALSE(is_usable(true, Duration(0)));
+  CHECK_FALSE(is_usable(true, kTolerance.window));
+  CHECK(is_usable(true, kTolerance.window + seconds(1)));
+  CHECK_FALSE(is_usable(false, 100 * kTolerance.window));
+}
+
 TEST_CASE("a short change of the member list moves no shard") {
   ShardOwnerEligibility eligibility;
   TimePoint now = TimePoint(seconds(1'000));
