--- a/libraries/rate_limiting/fallback_quota.h
+++ b/libraries/rate_limiting/fallback_quota.h
@@ -25,10 +25,10 @@
                    std::size_t rank,
                    std::size_t instance_count);
 
-// What an instance knows that uses its quota.
+// What determines whether an instance may use its quota.
 struct FallbackQuotaKnowledge {
   TimePoint started_at;           // of this process
-  bool has_read_members = false;  // which other instances there are
+  bool has_read_members = false;  // the records of all instances
 
   bool operator==(const FallbackQuotaKnowledge&) const = default;
 };
--- a/tests/http/connection_end_test.cc
+++ b/tests/http/connection_end_test.cc
@@ -26,6 +26,8 @@
 constexpr std::size_t kResponseBytes = 30'000;
 
 const std::string get_request = "GET /1 HTTP/1.1\r\nHost: a.example\r\n\r\n";
+const std::string closing_request =
+    "GET /1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n";
 
 // A server that responds to every request once its headers have arrived, or
 // after a delay.
@@ -130,9 +132,7 @@
     "a client that closes by header gets the response though it sends on") {
   RespondingServer server;
   RawConnection client(server.address, kReceiveBufferBytes);
-  REQUIRE(
-      client.Send("GET /1 HTTP/1.1\r\nHost: a.example\r\n"
-                  "Connection: close\r\n\r\n"));
+  REQUIRE(client.Send(closing_request));
   REQUIRE(server.Await([&] { return server.responses == 1; }));
   server.RunFor(milliseconds(50));
   const std::string& response =
@@ -166,9 +166,7 @@
   INFO((is_kept_alive ? "kept alive" : "closed"));
   RespondingServer server({}, seconds(2));
   RawConnection client(server.address, kReceiveBufferBytes);
-  REQUIRE(client.Send(is_kept_alive ? get_request
-                                    : "GET /1 HTTP/1.1\r\nHost: a.example\r\n"
-                                      "Connection: close\r\n\r\n"));
+  REQUIRE(client.Send(is_kept_alive ? get_request : closing_request));
   for (int i = 0; i < 12; ++i) {
     server.RunFor(milliseconds(500));
     client.Receive(kResponseBytes / 16);
@@ -185,9 +183,7 @@
   INFO((reads ? "reads" : "does not read"));
   RespondingServer server({}, seconds(2));
   RawConnection client(server.address, kReceiveBufferBytes);
-  REQUIRE(
-      client.Send("GET /1 HTTP/1.1\r\nHost: a.example\r\n"
-                  "Connection: close\r\n\r\n"));
+  REQUIRE(client.Send(closing_request));
   REQUIRE(server.Await([&] { return server.responses == 1; }));
   if (reads) {
     CHECK(IsWhole(server.ReadSlowly(client)));
@@ -204,9 +200,7 @@
   std::vector<RawConnection> clients;
   for (int i = 0; i < 30; ++i) {
     clients.emplace_back(server.address, kReceiveBufferBytes);
-    clients.back().Send(
-        "GET /1 HTTP/1.1\r\nHost: a.example\r\n"
-        "Connection: close\r\n\r\n");
+    clients.back().Send(closing_request);
     server.RunFor(milliseconds(20));
     CHECK(server.budget.usage().connections <= kMaxConnections + 2);
   }
@@ -219,10 +213,7 @@
 TEST_CASE("a server is destroyed while connections wait for their clients") {
   auto server = std::make_unique<RespondingServer>();
   RawConnection client(server->address, kReceiveBufferBytes);
-  REQUIRE(
-      client.Send("GET /1 HTTP/1.1\r\nHost: a.example\r\n"
-                  "Connection: close\r\n\r\n" +
-                  get_request));
+  REQUIRE(client.Send(closing_request + get_request));
   REQUIRE(server->Await([&] { return server->responses == 1; }));
   server->RunFor(milliseconds(100));
   client.Send(get_request);
--- a/tests/support/raw_connection.cc
+++ b/tests/support/raw_connection.cc
@@ -53,10 +53,6 @@
   return sent > 0 ? static_cast<std::size_t>(sent) : 0;
 }
 
-void RawConnection::EndSending() const {
-  shutdown(this->socket, SHUT_WR);
-}
-
 const std::string& RawConnection::Receive() {
   return this->Receive(std::numeric_limits<std::size_t>::max());
 }
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -33,8 +33,6 @@
   // Returns whether all that was received and read so far ended with the end of
   // the connection.
   bool has_read_end() const { return this->has_ended; }
-  // Ends the sending direction.
-  void EndSending() const;
   // Returns whether the server has closed the connection.
   bool HasEnded();
   void Close();
