tests: Let other processes listen on the ports of a scripted server

ScriptedServer listened without SO_REUSEADDR, so that the connections it had closed kept its ports in TIME_WAIT for 60 s, which no other process could listen on. The range of ports is chosen by the process ID modulo 52: a test that starts within a minute and gets the same range cannot start its stand-ins, and waits for them for 30 s in each case ("Address already in use" in their logs).

--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -27,6 +27,10 @@
   name.sin_family = AF_INET;
   name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   name.sin_port = htons(static_cast<std::uint16_t>(port));
+  // Without this, closed connections keep other processes from listening on the
+  // port for a minute.
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const bool is_listening =
       bind(listener, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) ==
           0 &&
