http, gateway: Serve the connections that were accepted last before exiting

Clients of a terminating instance that connected just before it stopped listening got a reset in place of a response, as did those that had sent a part of a request. A graceful shutdown cuts no request.

There are two causes. The instance checked whether it had drained in the same step in which it stopped listening, when the requests of the connections just accepted had not been read. And StopListening() accepted by one call of MHD_run(), which takes at most ten connections.

The exit now waits for requests that have arrived in part, until nine tenths of the grace period, and for the first request of a connection up to 1 s after it was accepted. All waiting connections are accepted before the socket is closed.

--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -35,6 +35,9 @@
 constexpr double kRequestShare = 0.85;
 constexpr double kExitShare = 0.9;
 constexpr Duration kDrainCheckInterval = milliseconds(50);
+// How long a connection without a request delays the exit. Clients send the
+// request as soon as they are connected.
+constexpr Duration kFirstRequestTimeout = seconds(1);
 
 // A request that arrives in the first half of the grace period, but no later
 // than this after its start, may be broken off when the instance exits. The
@@ -454,11 +457,12 @@
     this->has_stopped_listening = true;
     this->request_server->StopListening();
   }
-  const bool is_drained = this->has_stopped_listening &&
-                          this->context.active_requests.empty() &&
-                          this->request_server->open_exchanges() == 0 &&
-                          this->request_server->lingering_connections() == 0 &&
-                          !this->client_budget.HasUnacknowledgedData();
+  const bool is_drained =
+      this->has_stopped_listening && this->context.active_requests.empty() &&
+      this->request_server->open_exchanges() == 0 &&
+      this->request_server->lingering_connections() == 0 &&
+      !this->client_budget.MayReceiveRequest(kFirstRequestTimeout) &&
+      !this->client_budget.HasUnacknowledgedData();
   if (is_drained || elapsed >= ShareOf(grace, kExitShare)) {
     LogEvent(LogLevel::kInfo, "stop",
              {{"active_requests",
--- a/libraries/http/client_budget.cc
+++ b/libraries/http/client_budget.cc
@@ -125,6 +125,25 @@
       });
 }
 
+bool ClientBudget::MayReceiveRequest(Duration first_request_timeout) const {
+  const TimePoint now = this->loop.Now();
+  return std::ranges::any_of(
+      this->connections, [&](const ClientConnection& connection) {
+        if (connection.exchange || connection.is_closing ||
+            connection.is_lingering) {
+          return false;
+        }
+        if (!connection.received_before) {
+          return GetUnreadState(connection.socket) == UnreadState::kBytes;
+        }
+        const std::uint64_t received_bytes =
+            CountReceivedBytes(connection.socket).value_or(0);
+        return received_bytes > *connection.received_before ||
+               (received_bytes == 0 &&
+                now - connection.began_at < first_request_timeout);
+      });
+}
+
 void ClientBudget::EndRequest(ClientConnection& connection) {
   connection.exchange = nullptr;
   connection.began_at = this->loop.Now();
--- a/libraries/http/client_budget.h
+++ b/libraries/http/client_budget.h
@@ -93,6 +93,10 @@
   }
   // Returns whether a client has not acknowledged all that was sent to it.
   bool HasUnacknowledgedData() const;
+  // Returns whether a client has sent a part of a request that has not been
+  // read, or has sent nothing yet and connected less than
+  // `first_request_timeout` ago.
+  bool MayReceiveRequest(Duration first_request_timeout) const;
   // Returns what clients use, with the socket buffers as last measured.
   ClientUsage usage() const;
 
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -1,7 +1,10 @@
 #include "http/http_server.h"
 
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include "base/socket_address.h"
 #include "http/connection_state.h"
 
@@ -141,12 +144,30 @@
 }
 
 void HttpServer::StopListening() {
-  // Accepts the pending connections first: closing the listening socket would
-  // reset them.
-  MHD_run(this->daemon);
   const MHD_socket listener = MHD_quiesce_daemon(this->daemon);
-  if (listener != MHD_INVALID_SOCKET) {
-    close(listener);
+  if (listener == MHD_INVALID_SOCKET) {
+    return;
+  }
+  // Closing the listening socket resets the connections that wait to be
+  // accepted. MHD_run() accepts at most ten of them.
+  this->AcceptAll(listener);
+  close(listener);
+  this->RunDaemon();
+}
+
+void HttpServer::AcceptAll(int listener) {
+  while (true) {
+    sockaddr_storage address = {};
+    socklen_t length = sizeof(address);
+    auto* raw = reinterpret_cast<sockaddr*>(&address);
+    const int client =
+        accept4(listener, raw, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (client >= 0) {
+      // Closes the socket if it fails.
+      MHD_add_connection(this->daemon, client, raw, length);
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      return;
+    }
   }
 }
 
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -55,7 +55,8 @@
   // Processes resumed connections on the next iteration of the loop.
   void ScheduleRun();
 
-  // Stops accepting connections. Existing connections stay open.
+  // Stops accepting connections. Existing connections stay open, and those that
+  // wait to be accepted are served.
   void StopListening();
 
   // Adds "Connection: close" to every response that begins from now on.
@@ -65,6 +66,7 @@
  private:
   HttpServer(EventLoop& loop, Handler handler, ClientBudget* budget);
   Result<void> Start(const std::string& address);
+  void AcceptAll(int listener);
   void RunDaemon();
   void OnConnectionClosed(MHD_Connection* connection);
   static MHD_Result OnAccess(void* self,
--- a/tests/http/connection_end_test.cc
+++ b/tests/http/connection_end_test.cc
@@ -222,5 +222,26 @@
   CHECK(IsWhole(other.ReadSlowly(client)));
 }
 
+// Guards against resets of connections that are complete, but not yet accepted,
+// when the listening socket closes. MHD_run() accepts at most ten of them.
+TEST_CASE("connections that wait when the server stops listening are served") {
+  RespondingServer server;
+  constexpr int kClients = 40;
+  std::vector<RawConnection> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(server.address);
+    REQUIRE(clients.back().Send(closing_request));
+  }
+  server.server->StopListening();
+  const auto count_whole = [&] {
+    return std::ranges::count_if(clients, [](RawConnection& client) {
+      return IsWhole(client.Receive());
+    });
+  };
+  server.Await([&] { return count_whole() == kClients; }, seconds(5));
+  CHECK(count_whole() == kClients);
+  CHECK_THROWS(RawConnection(server.address));
+}
+
 }  // namespace
 }  // namespace parsleyquay
--- a/tests/promises/client_connections_test.cc
+++ b/tests/promises/client_connections_test.cc
@@ -6,8 +6,11 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdint>
+#include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/configuration_text.h"
@@ -313,6 +316,44 @@
   CHECK(gateway.process(0).exit_code() == 0);
 }
 
+// Guards against an instance that exits when it stops listening, although it
+// has just accepted connections whose requests have not arrived, or not whole.
+TEST_CASE("a terminating instance responds on connections accepted last") {
+  OneGateway gateway(ConfigurationWith("60s", "60s"), Good());
+  const std::string head = HeadFor("GET", "/safe/1", "r-2") + "\r\n";
+  constexpr std::size_t kSentAtOnce = 20;
+  std::optional<RawConnection> silent;
+  std::optional<RawConnection> partial;
+  gateway.process(0).Signal(SIGTERM);
+  // Keeps the two connections that were accepted last.
+  const auto may_connect = [&] {
+    try {
+      RawConnection first(gateway.request_address(0));
+      RawConnection second(gateway.request_address(0));
+      silent.emplace(std::move(first));
+      partial.emplace(std::move(second));
+    } catch (const std::runtime_error&) {
+      return false;
+    }
+    partial->Send(head.substr(0, kSentAtOnce));
+    return true;
+  };
+  REQUIRE(gateway.Await([&] { return !may_connect(); }));
+  REQUIRE(silent);
+  gateway.RunFor(milliseconds(200));
+  silent->Send(head);
+  partial->Send(head.substr(kSentAtOnce));
+  for (RawConnection* client : {&*silent, &*partial}) {
+    gateway.Await([&] { return client->HasEnded(); });
+    // Its deadline is after the end of the grace period.
+    CHECK(HasWholeResponse(client->Receive(), "503", 1));
+    CHECK(client->Receive().find(R"("outcome":"not_run")") !=
+          std::string::npos);
+  }
+  CHECK(gateway.Await([&] { return gateway.process(0).HasEnded(); }));
+  CHECK(gateway.process(0).exit_code() == 0);
+}
+
 // Guards against the header timeout of a client that has sent its headers in
 // time, but not at once, and whose body or response then takes long.
 TEST_CASE("the header timeout ends with the headers") {
