gateway: Never forward a long rejection of a server with its status

Clients got a server's own 429 or 408 as it was if its body was longer than what is buffered (64 KB, or 640 KB for idempotent requests). They take these statuses as a guarantee that the request was not executed and never will be, but a server that does not say so may have executed it (REFUSED). Short ones have been replaced by 502.

Such a body was buffered like that of any response, and the response began once it was too long. It is not delivered in any case, so it is now read like that of a failed response, which is aborted after 64 KB.

No other status is affected.

--- a/libraries/gateway/proxied_request_response.cc
+++ b/libraries/gateway/proxied_request_response.cc
@@ -125,15 +125,15 @@
     this->exchange->Write(data);
     return true;
   }
-  if (this->attempt.failure) {
+  // DeliverResponse() replaces a response that suggests this.
+  if (this->attempt.failure || SuggestsNotExecuted(this->attempt.status)) {
     this->OnDataOfFailedResponse(data);
     return true;
   }
   if (!this->exchange->MayReceiveMore()) {
     // Only sending it frees the memory of what is buffered.
-    const bool may_begin = !this->attempt.buffered_response.empty() &&
-                           this->is_body_relayed() &&
-                           !SuggestsNotExecuted(this->attempt.status);
+    const bool may_begin =
+        !this->attempt.buffered_response.empty() && this->is_body_relayed();
     if (may_begin) {
       this->BeginResponse(
           ParseUnsignedHeader(this->attempt.headers, "Content-Length"));
@@ -156,15 +156,15 @@
   return true;
 }
 
-// The body of a failed response is read, so that the connection can be reused,
-// but only up to a limit.
+// The body of a response that is not delivered is read, so that the connection
+// can be reused, but only up to a limit.
 void ProxiedRequest::OnDataOfFailedResponse(std::string_view data) {
   this->attempt.failed_response_bytes += data.size();
   if (this->attempt.failed_response_bytes > kMaxFailedResponseBytes) {
     this->attempt.call->AbortAfterCallback();
     return;
   }
-  if (*this->attempt.failure == AttemptResult::kServerError) {
+  if (this->attempt.failure == AttemptResult::kServerError) {
     this->attempt.buffered_response += data;
   }
 }
--- a/tests/gateway/proxying_test.cc
+++ b/tests/gateway/proxying_test.cc
@@ -158,6 +158,22 @@
   }
 }
 
+// Guards against a rejection that is passed on as it is, since its body is
+// longer than what is buffered of a response. The client would take it as not
+// executed.
+TEST_CASE("a server's own long rejection is not reported as not executed") {
+  const std::string status = GENERATE("503 Busy", "429 Busy", "408 Slow");
+  const std::size_t body_bytes = GENERATE(100'000, 2'000'000);
+  INFO(status << ", " << body_bytes << " bytes");
+  OneServer fixture([&](const RawRequest& request) {
+    return RawResponse{
+        MakeResponse(request, status, "", std::string(body_bytes, 'x'))};
+  });
+  const BufferedResponse response = fixture.Send("POST", "/once/1", {}, "x");
+  CHECK((response.status == 502 || response.status == 504));
+  CHECK(fixture.server.requests().size() == 1);
+}
+
 TEST_CASE(
     "a server error is forwarded unchanged for a non-idempotent request") {
   OneServer fixture(Status("500 Oops", "Response-Signature: sig\r\n"));
