tests: Share the check of a whole response, and report why a server does not start

IsWhole and HasWholeResponse searched for the end of the headers in the same way: both now compare CountBodyBytes() of raw_connection.h, as strictly as before. Two tests used boost::leaf directly where RunOrReport() does the same and gives the error. Four comments are reworded to be understood alone; the code of the product is unchanged.

--- a/libraries/gateway/proxied_request_response.cc
+++ b/libraries/gateway/proxied_request_response.cc
@@ -125,7 +125,7 @@
     this->exchange->Write(data);
     return true;
   }
-  // DeliverResponse() replaces a response that suggests this.
+  // DeliverResponse() replaces a response that could be taken as not executed.
   if (this->attempt.failure || SuggestsNotExecuted(this->attempt.status)) {
     this->OnDataOfFailedResponse(data);
     return true;
@@ -156,8 +156,8 @@
   return true;
 }
 
-// The body of a response that is not delivered is read, so that the connection
-// can be reused, but only up to a limit.
+// The body of a response that failed or is replaced is read, so that the
+// connection can be reused, but only up to a limit.
 void ProxiedRequest::OnDataOfFailedResponse(std::string_view data) {
   this->attempt.failed_response_bytes += data.size();
   if (this->attempt.failed_response_bytes > kMaxFailedResponseBytes) {
--- a/libraries/http/client_budget.cc
+++ b/libraries/http/client_budget.cc
@@ -291,7 +291,7 @@
   const TimePoint now = this->loop.Now();
   const auto counts = GetTransferCounts(connection.socket);
   if (!counts) {
-    // Only the exchange's own progress is known.
+    // Without the kernel's counts, only the exchange's own progress is known.
     connection.is_slow =
         IsClientSlow({.at = connection.progressed_at}, {.at = now})
             .value_or(false);
--- a/tests/http/connection_end_test.cc
+++ b/tests/http/connection_end_test.cc
@@ -36,7 +36,7 @@
                             Duration idle_timeout = seconds(60))
       : budget(loop, limits, [](ClosureReason, std::size_t, ClientUsage) {}) {
     this->budget.SetTimeouts({.header = seconds(60), .idle = idle_timeout});
-    boost::leaf::try_handle_all(
+    RunOrReport(
         [&]() -> Result<void> {
           BOOST_LEAF_ASSIGN(
               this->server,
@@ -48,7 +48,7 @@
                   &this->budget));
           return {};
         },
-        [] { FAIL("the server does not start"); });
+        [](const Error& error) { FAIL(ToString(error)); });
   }
 
   void OnRequest(std::shared_ptr<ServerExchange> exchange) {
@@ -100,10 +100,7 @@
 };
 
 bool IsWhole(const std::string& response) {
-  const std::size_t head_end = response.find("\r\n\r\n");
-  return response.starts_with("HTTP/1.1 200") &&
-         head_end != std::string::npos &&
-         response.size() == head_end + 4 + kResponseBytes;
+  return CountBodyBytes(response, "200") == kResponseBytes;
 }
 
 // Guards against a reset by requests that arrive behind the one whose response
--- a/tests/http/scripted_server_test.cc
+++ b/tests/http/scripted_server_test.cc
@@ -28,17 +28,15 @@
     REQUIRE(RunLoopUntil(
         loop, [&] { return client.HasEnded(); }, seconds(5)));
   }
-  bool is_listening = false;
-  boost::leaf::try_handle_all(
+  std::string failure;
+  const bool is_listening = RunOrReport(
       [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(
-            server,
-            HttpServer::Create(loop, address,
-                               [](const std::shared_ptr<ServerExchange>&) {}));
-        is_listening = server != nullptr;
+        BOOST_LEAF_CHECK(HttpServer::Create(
+            loop, address, [](const std::shared_ptr<ServerExchange>&) {}));
         return {};
       },
-      [] {});
+      [&](const Error& error) { failure = ToString(error); });
+  INFO(failure);
   CHECK(is_listening);
 }
 
--- a/tests/promises/client_connections_test.cc
+++ b/tests/promises/client_connections_test.cc
@@ -253,10 +253,7 @@
 bool HasWholeResponse(const std::string& received,
                       const std::string& status,
                       std::size_t body_bytes) {
-  const std::size_t head_end = received.find("\r\n\r\n");
-  return received.starts_with("HTTP/1.1 " + status) &&
-         head_end != std::string::npos &&
-         received.size() >= head_end + 4 + body_bytes;
+  return CountBodyBytes(received, status) >= body_bytes;
 }
 
 // Guards against a reset that cuts the responses of a terminating instance,
@@ -345,7 +342,7 @@
   partial->Send(head.substr(kSentAtOnce));
   for (RawConnection* client : {&*silent, &*partial}) {
     gateway.Await([&] { return client->HasEnded(); });
-    // Its deadline is after the end of the grace period.
+    // The request's deadline is after the end of the grace period.
     CHECK(HasWholeResponse(client->Receive(), "503", 1));
     CHECK(client->Receive().find(R"("outcome":"not_run")") !=
           std::string::npos);
--- a/tests/support/raw_connection.cc
+++ b/tests/support/raw_connection.cc
@@ -85,4 +85,15 @@
   }
 }
 
+std::optional<std::size_t> CountBodyBytes(const std::string& received,
+                                          const std::string& status) {
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  const std::size_t head_end = received.find(kHeadEnd);
+  if (!received.starts_with("HTTP/1.1 " + status) ||
+      head_end == std::string::npos) {
+    return std::nullopt;
+  }
+  return received.size() - head_end - kHeadEnd.size();
+}
+
 }  // namespace parsleyquay
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -2,6 +2,7 @@
 #define PARSLEYQUAY_TESTS_SUPPORT_RAW_CONNECTION_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,11 @@
   bool has_ended = false;
 };
 
+// Returns how many bytes follow the headers of the first response, or
+// std::nullopt if its headers are incomplete or its status is another one.
+std::optional<std::size_t> CountBodyBytes(const std::string& received,
+                                          const std::string& status);
+
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_TESTS_SUPPORT_RAW_CONNECTION_H_
