gateway: Read the operators' feed when nobody knows its newest state

Cause: a member that follows an aggregator pauses its reads of the operators' feed while digests arrive. A digest stated a position, but not how long ago the store had told it, so the digests of an aggregator that the store turns away were taken for "no change".

Change: digests state the age of what the sender knows of the feed, and whether it has the state. An instance whose knowledge is 1.0 to 1.23 s old reads the store and forwards what it read, in an order that finds a served member with few reads; the same holds for the list of servers, which only aggregator and standby forwarded. Of several that read at once, the one ranked first goes on. A read that waited for a change in vain counts from the end of its wait. Instances that hear no aggregator read with a shorter wait, so that a silent connection shows. The fake feed of the tests ends a wait in vain with an empty response, as the store does, in place of a failure.

--- a/libraries/coordination/change_feed_reader.h
+++ b/libraries/coordination/change_feed_reader.h
@@ -44,9 +44,9 @@
         on_changes;
     // Called when the feed becomes unavailable, and when it is available again.
     std::function<void(bool is_available)> on_availability;
-    // Called after a successful read and the delivery of its changes, with the
-    // time when the read was sent.
-    std::function<void(TimePoint sent_at)> on_read;
+    // Called after a successful read and the delivery of its changes: all
+    // changes made before `known_at` have been delivered.
+    std::function<void(TimePoint known_at)> on_read;
     // Returns the delay from learning of a new era to the snapshot that is then
     // read, unless a peer's snapshot arrives before. Optional, 0 by default.
     std::function<Duration()> new_era_delay;
@@ -77,7 +77,8 @@
 
   // Ends the continuous reads, since another instance tells of the changes.
   // Further reads are those of ReadNow() and of a new era, each until it
-  // succeeds. May be called before Start(), which is then not needed.
+  // succeeds or CancelRetry() is called. May be called before Start(), which is
+  // then not needed.
   void Pause() {
     this->is_paused = true;
     if (this->is_waiting) {
@@ -88,10 +89,20 @@
     }
   }
 
+  // Cancels the retry of a failed read, so that the next read is that of
+  // ReadNow(). Has an effect only on a paused reader, and none on the snapshot
+  // of a new era.
+  void CancelRetry() {
+    if (this->is_paused && !this->is_behind_era() &&
+        std::exchange(this->is_retry_pending, false)) {
+      this->timer.Stop();
+    }
+  }
+
   // Continues the continuous reads, with one that is sent now.
   void Resume() {
-    if (!std::exchange(this->is_paused, false) || this->failures > 0 ||
-        this->is_era_read_scheduled) {
+    if (!std::exchange(this->is_paused, false) || this->is_retry_pending ||
+        this->cancel_current_read || this->is_era_read_scheduled) {
       return;
     }
     if (this->next_position) {
@@ -129,7 +140,7 @@
   void ReadNow() {
     const bool is_reading_without_wait =
         this->cancel_current_read && !this->is_waiting;
-    if (is_reading_without_wait || this->failures > 0 ||
+    if (is_reading_without_wait || this->is_retry_pending ||
         this->is_era_read_scheduled) {
       return;
     }
@@ -200,6 +211,11 @@
   std::uint64_t failed_reads() const { return this->all_failures; }
 
  private:
+  struct SentRead {
+    TimePoint at;
+    Duration wait;
+  };
+
   // The delay after a failed read. It is short at first because most outages
   // are short, and doubles up to a maximum because rejected requests also put
   // load on the store.
@@ -243,8 +259,10 @@
   // nothing if the next read is a snapshot anyway: before the first one, and
   // while failed reads are retried.
   void ScheduleEraRead() {
+    const bool is_retrying = this->failures > 0 && (this->is_retry_pending ||
+                                                    this->cancel_current_read);
     const bool is_snapshot_next =
-        !this->next_position || this->has_expired || this->failures > 0;
+        !this->next_position || this->has_expired || is_retrying;
     if (is_snapshot_next || !this->is_behind_era()) {
       return;
     }
@@ -261,6 +279,7 @@
       return;
     }
     this->is_era_read_scheduled = false;
+    this->is_retry_pending = false;
     const TimePoint sent_at = this->loop.Now();
     this->current_read_sent_at = sent_at;
     const bool is_incremental =
@@ -268,13 +287,14 @@
     const ChangeSetKind kind =
         is_incremental ? ChangeSetKind::kIncremental : ChangeSetKind::kSnapshot;
     const std::uint64_t sent_era = this->known_era;
-    auto on_read = [this, sent_at, sent_era,
+    this->is_waiting =
+        kind == ChangeSetKind::kIncremental && options.wait > Duration(0);
+    const Duration wait = this->is_waiting ? options.wait : Duration(0);
+    auto on_read = [this, sent_at, wait, sent_era,
                     kind](FeedReadResult<Change> read) {
       this->cancel_current_read = nullptr;
-      this->OnRead(std::move(read), kind, sent_at, sent_era);
+      this->OnRead(std::move(read), kind, {sent_at, wait}, sent_era);
     };
-    this->is_waiting =
-        kind == ChangeSetKind::kIncremental && options.wait > Duration(0);
     if (kind == ChangeSetKind::kIncremental) {
       this->cancel_current_read = this->feed.read_from(
           *this->next_position, options, std::move(on_read));
@@ -287,7 +307,7 @@
 
   void OnRead(FeedReadResult<Change> read,
               ChangeSetKind kind,
-              TimePoint sent_at,
+              SentRead sent,
               std::uint64_t sent_era) {
     if (read.status == FeedReadStatus::kUnavailable) {
       this->OnUnavailable(read.detail);
@@ -323,6 +343,7 @@
     }
     this->last_read_ended_at = this->loop.Now();
     this->ScheduleNextRead(this->schedule.interval);
+    const TimePoint known_at = this->KnownAt(read, sent);
     // A peer may have told of newer changes meanwhile.
     if (this->next_position.value_or(FeedPosition()) <= read.next_position) {
       this->next_position = read.next_position;
@@ -330,10 +351,21 @@
       this->Deliver(std::move(read.changes), kind);
     }
     if (this->handlers.on_read) {
-      this->handlers.on_read(sent_at);
+      this->handlers.on_read(known_at);
     }
   }
 
+  // Returns the time before which all changes are known by a response. A store
+  // that has waited in vain has had no change until the wait ended. Of any
+  // other response only the time of the request is certain.
+  TimePoint KnownAt(const FeedReadResult<Change>& read,
+                    const SentRead& sent) const {
+    const TimePoint wait_ended_at = sent.at + sent.wait;
+    const bool has_waited_in_vain = this->next_position == read.next_position &&
+                                    this->loop.Now() >= wait_ended_at;
+    return has_waited_in_vain ? wait_ended_at : sent.at;
+  }
+
   void OnUnavailable(const std::string& detail) {
     ++this->failures;
     ++this->all_failures;
@@ -344,6 +376,7 @@
     }
     const Duration delay =
         kMinRetryDelay * (1 << std::min(this->failures - 1, kMaxDoublings));
+    this->is_retry_pending = true;
     this->timer.StartOnce(std::min(delay, this->schedule.max_retry_delay));
   }
 
@@ -381,6 +414,7 @@
   bool is_era_read_scheduled = false;
   std::optional<TimePoint> last_read_ended_at;  // the newest successful one
   int failures = 0;  // since the last successful read
+  bool is_retry_pending = false;
   std::uint64_t all_failures = 0;
 };
 
--- a/libraries/dissemination/digest.cc
+++ b/libraries/dissemination/digest.cc
@@ -178,6 +178,8 @@
   const Digest empty_part{.sender = digest.sender,
                           .configuration_version = digest.configuration_version,
                           .operator_position = digest.operator_position,
+                          .operator_feed_age = digest.operator_feed_age,
+                          .has_operator_state = digest.has_operator_state,
                           .serves_configuration = digest.serves_configuration,
                           .servers_from = digest.servers_to,
                           .servers_to = digest.servers_to,
@@ -217,6 +219,12 @@
   parameters["a"] = Json::UInt64(digest.servers_from.offset);
   parameters["z"] = Json::UInt64(digest.servers_to.offset);
   EncodeEras(digest, parameters);
+  if (digest.operator_feed_age) {
+    parameters["q"] = Json::Int64(ToMilliseconds(*digest.operator_feed_age));
+  }
+  if (digest.has_operator_state) {
+    parameters["h"] = true;
+  }
   if (digest.serves_configuration) {
     parameters["c"] = true;
   }
@@ -266,10 +274,14 @@
   Digest digest{.sender = parameters["f"].asString(),
                 .configuration_version = parameters["v"].asUInt64(),
                 .operator_position = DecodePosition(parameters, "p"),
+                .has_operator_state = parameters["h"].asBool(),
                 .serves_configuration = parameters["c"].asBool(),
                 .servers_from = DecodePosition(parameters, "a"),
                 .servers_to = DecodePosition(parameters, "z"),
                 .has_full_server_list = parameters["l"].asBool()};
+  if (parameters["q"].isInt64()) {
+    digest.operator_feed_age = milliseconds(parameters["q"].asInt64());
+  }
   if (parameters["g"].isInt64()) {
     digest.server_list_age = milliseconds(parameters["g"].asInt64());
   }
--- a/libraries/dissemination/digest.h
+++ b/libraries/dissemination/digest.h
@@ -47,6 +47,13 @@
   // The newest position of the operators' change feed that the sender has read
   // or heard of.
   FeedPosition operator_position;
+  // How long ago the operators' feed was last known to end at
+  // `operator_position`, at the time of sending: no earlier change is missing
+  // from it. Unset if the sender does not know; instances of earlier versions
+  // do not state it.
+  std::optional<Duration> operator_feed_age;
+  // Whether the sender has the state at `operator_position`.
+  bool has_operator_state = false;
   // Whether the sender answers requests for the state of the operators' feed.
   bool serves_configuration = false;
   // `server_changes` are all the changes between these positions of the
--- a/libraries/gateway/configuration_sharing.cc
+++ b/libraries/gateway/configuration_sharing.cc
@@ -19,6 +19,10 @@
 // follows. A change published meanwhile still takes effect within 2 s.
 constexpr Duration kSettleTime = seconds(1);
 
+// While the store does not respond to this instance at all, its other reads
+// show when it does again. They are looked at in this interval.
+constexpr Duration kStoreCheckInterval = milliseconds(50);
+
 std::string_view SourceName(ConfigurationSource source) {
   return source == ConfigurationSource::kStore ? "store" : "aggregator";
 }
@@ -27,11 +31,14 @@
 
 ConfigurationSharing::ConfigurationSharing(GatewayContext& context,
                                            ConfigurationWatcher& watcher,
-                                           const AggregatorElection& election)
+                                           const AggregatorElection& election,
+                                           Handlers handlers)
     : context(context),
       watcher(watcher),
       election(election),
+      handlers(std::move(handlers)),
       update_timer(context.loop, [this] { this->Update(); }),
+      age_timer(context.loop, [this] { this->OnOldFeed(); }),
       send_timer(context.loop, [this] { this->SendFragments(); }) {}
 
 std::vector<std::string> ConfigurationSharing::MessageMethods() {
@@ -47,6 +54,7 @@
   this->decision = {ConfigurationSource::kAggregator, SourceReason::kStarting};
   this->watcher.PauseReads();
   this->Update();
+  this->ScheduleAgeRead();
 }
 
 void ConfigurationSharing::OnDigest(const Digest& digest) {
@@ -63,6 +71,12 @@
     this->serving_aggregator =
         digest.serves_configuration ? digest.sender : std::string();
   }
+  if (digest.has_operator_state && digest.serves_configuration &&
+      digest.operator_position >= this->held_position) {
+    this->state_holder = digest.sender;
+    this->held_position = digest.operator_position;
+  }
+  this->ScheduleAgeRead();
   this->Update();
 }
 
@@ -91,12 +105,78 @@
   }
 }
 
+void ConfigurationSharing::OnFeedRead() {
+  if (!this->is_enabled()) {
+    return;
+  }
+  const bool was_old = std::exchange(this->is_reading_old_feed, false);
+  if (was_old) {
+    this->read_for_others_at = this->context.Now();
+    ++this->slow_reads;  // unless the feed turns out to be new
+    IncrementCounter(this->context.metrics, "operator_feed_reads_for_others");
+  }
+  this->ScheduleAgeRead();
+  if (was_old || this->election.role.is_aggregator) {
+    this->handlers.on_old_feed_read();
+  }
+}
+
+void ConfigurationSharing::SetReadOrder(const ListReadOrder& order) {
+  this->read_order = order;
+  if (this->is_enabled()) {
+    this->ScheduleAgeRead();
+  }
+}
+
+// An instance that was never told begins with the age 0 when it starts.
+Duration ConfigurationSharing::FeedAge() const {
+  return this->watcher.FeedAge().value_or(this->context.Now() -
+                                          this->started_at);
+}
+
+void ConfigurationSharing::ScheduleAgeRead() {
+  const ListReadOrder order = AfterReadForOthers(
+      this->read_order, this->read_for_others_at, this->context.Now());
+  const Duration age = this->FeedAge();
+  if (age < kSlowListRead) {
+    this->slow_reads = 0;
+  }
+  this->age_timer.StartOnce(
+      std::max(Duration(0), ListAgeLimit(order, this->slow_reads) - age));
+}
+
+// An instance that all reads of the store fail for leaves the attempts to the
+// reads of the list of servers: those of two feeds would double the calls to a
+// store that is down.
+void ConfigurationSharing::OnOldFeed() {
+  if (!this->handlers.is_store_available()) {
+    this->watcher.CancelRetry();
+    this->age_timer.StartOnce(kStoreCheckInterval);
+    return;
+  }
+  if (!std::exchange(this->is_reading_old_feed, true)) {
+    LogEvent(LogLevel::kInfo, "operator_feed_old",
+             {{"age_ms", std::to_string(ToMilliseconds(this->FeedAge()))},
+              {"aggregator", FollowedAggregator(this->election)},
+              {"position", ToText(this->watcher.newest_known_position())}});
+  }
+  this->watcher.ReadNow();
+  this->age_timer.StartOnce(kListAgeLimit);
+}
+
 void ConfigurationSharing::Update() {
   if (!this->watcher.has_state() &&
       HasToReadAtStart(this->election, this->request_schedule, this->started_at,
                        this->context.Now())) {
     this->watcher.ReadNow();
   }
+  const bool is_told = this->watcher.has_state() &&
+                       !this->watcher.is_behind() &&
+                       this->FeedAge() < kListAgeLimit;
+  if (is_told) {
+    this->is_reading_old_feed = false;
+    this->watcher.CancelRetry();
+  }
   this->UpdateSource();
   this->AskIfNeeded();
   const bool is_urgent =
@@ -144,14 +224,20 @@
   const bool needs_peers =
       this->decision.source == ConfigurationSource::kAggregator ||
       !this->watcher.is_available();
-  const bool can_ask = needs_peers && this->context.peer_transport &&
-                       this->watcher.is_behind() &&
-                       !this->serving_aggregator.empty();
+  const bool can_ask =
+      needs_peers && this->context.peer_transport &&
+      this->watcher.is_behind() &&
+      (!this->serving_aggregator.empty() || !this->state_holder.empty());
   if (!can_ask) {
     return;
   }
-  const std::string first =
-      this->watcher.has_state() ? "" : this->serving_aggregator;
+  const bool is_held =
+      this->held_position >= this->watcher.newest_known_position();
+  const std::string no_one;
+  const std::string& first = is_held ? this->state_holder
+                             : this->watcher.has_state()
+                                 ? no_one
+                                 : this->serving_aggregator;
   const auto member =
       NextToAsk(this->request_schedule, MembersToAsk(this->election, first),
                 this->assembly.progressed_at, this->context.Now());
--- a/libraries/gateway/configuration_sharing.h
+++ b/libraries/gateway/configuration_sharing.h
@@ -3,6 +3,7 @@
 
 #include <json/json.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,20 +17,32 @@
 #include "event/timer.h"
 #include "gateway/configuration_watcher.h"
 #include "gateway/gateway_context.h"
+#include "gateway/list_age_limit.h"
 
 namespace parsleyquay {
 
 // Gets the operators' changes from the aggregator that this instance follows,
 // so that it need not read them from the store, and tells them to instances
-// that ask for them. Reads from the store where there is no such aggregator.
+// that ask for them. Reads from the store where there is no such aggregator,
+// and when nobody has told for too long that there is no further change: the
+// aggregator may be turned away by the store, slow, or heard only one way.
 // Only connects the decisions in configuration_source.h, transfer_queue.h and
 // configuration_transfer.h to the network and to `ConfigurationWatcher`.
 class ConfigurationSharing {
  public:
+  struct Handlers {
+    // Returns whether this instance's other reads of the store succeed.
+    std::function<bool()> is_store_available;
+    // Called when the feed has been read since nobody had told that it has no
+    // further change.
+    std::function<void()> on_old_feed_read;
+  };
+
   // The references must outlive this object.
   ConfigurationSharing(GatewayContext& context,
                        ConfigurationWatcher& watcher,
-                       const AggregatorElection& election);
+                       const AggregatorElection& election,
+                       Handlers handlers);
 
   // The methods of the messages that OnMessage() handles.
   static std::vector<std::string> MessageMethods();
@@ -44,6 +57,11 @@
   void OnRoleChange();
   // To be called when the watcher knows more than before.
   void OnNewState();
+  // To be called when the watcher has read the feed.
+  void OnFeedRead();
+  void SetReadOrder(const ListReadOrder& order);
+  // Leaves reads for others to an instance that does so too.
+  void StopReadingForOthers() { this->read_for_others_at.reset(); }
 
   bool is_enabled() const {
     return this->context.settings.has_configuration_from_aggregators;
@@ -52,6 +70,9 @@
  private:
   void Update();
   void UpdateSource();
+  void ScheduleAgeRead();
+  void OnOldFeed();
+  Duration FeedAge() const;
   void AskIfNeeded();
   void Ask(const std::string& member);
   void OnRequest(const Json::Value& parameters);
@@ -63,7 +84,9 @@
   GatewayContext& context;
   ConfigurationWatcher& watcher;
   const AggregatorElection& election;
+  Handlers handlers;
   Timer update_timer;
+  Timer age_timer;
   Timer send_timer;
   TimePoint started_at;
   // Whether the watcher waits for other instances.
@@ -71,6 +94,14 @@
   // The newest aggregator that this instance has followed, if its newest digest
   // states that it answers requests.
   std::string serving_aggregator;
+  // The member that states that it has the newest known state, or empty.
+  std::string state_holder;
+  FeedPosition held_position;  // of the state that it has
+  ListReadOrder read_order;
+  bool is_reading_old_feed = false;  // until the read succeeds
+  int slow_reads = 0;                // in a row, see ListAgeLimit()
+  // When the newest read of an old feed succeeded.
+  std::optional<TimePoint> read_for_others_at;
   RequestSchedule request_schedule;
   TransferAssembly assembly;
   TransferQueue queue;
--- a/libraries/gateway/configuration_watcher.cc
+++ b/libraries/gateway/configuration_watcher.cc
@@ -49,12 +49,14 @@
                                            OnConfiguration on_configuration,
                                            OnWithdrawals on_withdrawals,
                                            OnNews on_news,
-                                           OnRolloutRequest on_rollout_request)
+                                           OnRolloutRequest on_rollout_request,
+                                           OnFeedRead on_feed_read)
     : context(context),
       on_configuration(std::move(on_configuration)),
       on_withdrawals(std::move(on_withdrawals)),
       on_news(std::move(on_news)),
       on_rollout_request(std::move(on_rollout_request)),
+      on_feed_read(std::move(on_feed_read)),
       feed_reader(
           context.loop,
           "operators",
@@ -64,6 +66,7 @@
                [this](std::vector<OperatorChange> changes, ChangeSetKind kind) {
                  this->OnChanges(std::move(changes), kind);
                },
+           .on_read = [this](TimePoint known_at) { this->OnRead(known_at); },
            .new_era_delay = [this] { return this->NewEraDelay(); }}),
       read_timer(context.loop, [this] { this->ReadMissingChanges(); }) {
   context.coordination.era->Watch(
@@ -104,9 +107,31 @@
   return changes;
 }
 
-void ConfigurationWatcher::OnPeerFeedPosition(const FeedPosition& position) {
+void ConfigurationWatcher::OnRead(TimePoint known_at) {
+  this->SetFeedKnownAt(known_at);
+  this->on_feed_read();
+}
+
+void ConfigurationWatcher::SetFeedKnownAt(TimePoint known_at) {
+  this->feed_known_at =
+      std::max(this->feed_known_at.value_or(known_at), known_at);
+}
+
+std::optional<Duration> ConfigurationWatcher::FeedAge() const {
+  if (!this->feed_known_at) {
+    return std::nullopt;
+  }
+  return this->context.Now() - *this->feed_known_at;
+}
+
+void ConfigurationWatcher::OnPeerFeedPosition(const FeedPosition& position,
+                                              std::optional<Duration> age) {
   const bool is_news = position > this->newest_known_position();
   this->peer_position = std::max(this->peer_position, position);
+  // A peer that has not heard of the newest era does not know its changes.
+  if (age && position.era >= this->context.coordination.era->known()) {
+    this->SetFeedKnownAt(this->context.Now() - *age);
+  }
   this->UpdateLag();
   if (is_news) {
     this->on_news();
@@ -149,8 +174,9 @@
   }
 }
 
-void ConfigurationWatcher::SetFrequentReads(bool are_frequent) {
-  this->reads_for_others = are_frequent;
+void ConfigurationWatcher::SetFrequentReads(bool are_frequent,
+                                            bool are_for_others) {
+  this->reads_for_others = are_frequent && are_for_others;
   this->feed_reader.SetReadSchedule(are_frequent ? kFrequentSchedule
                                                  : kRareSchedule);
 }
--- a/libraries/gateway/configuration_watcher.h
+++ b/libraries/gateway/configuration_watcher.h
@@ -26,13 +26,16 @@
   // announce it without delay.
   using OnNews = std::function<void()>;
   using OnRolloutRequest = std::function<void(const RolloutRequestChange&)>;
+  // Called when the feed has been read.
+  using OnFeedRead = std::function<void()>;
 
   ConfigurationWatcher(
       GatewayContext& context,
       OnConfiguration on_configuration,
       OnWithdrawals on_withdrawals,
       OnNews on_news = [] {},
-      OnRolloutRequest on_rollout_request = [](const RolloutRequestChange&) {});
+      OnRolloutRequest on_rollout_request = [](const RolloutRequestChange&) {},
+      OnFeedRead on_feed_read = [] {});
 
   void Start() { this->feed_reader.Start(); }
   void Stop() { this->feed_reader.Stop(); }
@@ -54,14 +57,23 @@
   // instance.
   std::vector<OperatorChange> State(bool has_configuration) const;
 
-  // Another instance has read the feed up to `position`. Schedules a read if
-  // this instance has not.
-  void OnPeerFeedPosition(const FeedPosition& position);
+  // Another instance has read the feed up to `position`, and knows that this
+  // was its end `age` ago, if it states that. Schedules a read if this instance
+  // has not read so far.
+  void OnPeerFeedPosition(const FeedPosition& position,
+                          std::optional<Duration> age = std::nullopt);
+
+  // Returns how long ago the feed was last known to end at
+  // newest_known_position(), or std::nullopt if it never was.
+  std::optional<Duration> FeedAge() const;
+
+  // Does not retry a failed read while reads are paused.
+  void CancelRetry() { this->feed_reader.CancelRetry(); }
 
   // Shortens the long polls, so that a change is noticed in time even if the
   // connection to the store has silently stopped delivering data. For instances
-  // that read the feed on behalf of others.
-  void SetFrequentReads(bool are_frequent);
+  // that read the feed on behalf of others, and those that no one tells of it.
+  void SetFrequentReads(bool are_frequent, bool are_for_others = true);
 
   // Whether the newest read of the feed succeeded.
   bool is_available() const { return this->feed_reader.is_available(); }
@@ -87,6 +99,8 @@
   void ReadMissingChanges();
   void UpdateLag();
   Duration lag() const;
+  void OnRead(TimePoint known_at);
+  void SetFeedKnownAt(TimePoint known_at);
   void OnChanges(std::vector<OperatorChange> changes, ChangeSetKind kind);
   void ApplyConfiguration(FleetConfiguration configuration);
 
@@ -95,6 +109,7 @@
   OnWithdrawals on_withdrawals;
   OnNews on_news;
   OnRolloutRequest on_rollout_request;
+  OnFeedRead on_feed_read;
   OperatorState state;
   bool is_applying_peer_state = false;
   ChangeFeedReader<OperatorChange> feed_reader;
@@ -103,6 +118,8 @@
   bool reads_for_others = false;
   std::uint64_t applied_era = 0;  // of the newest changes
   FeedPosition peer_position;     // the newest that a peer has announced
+  // All changes before this time are up to the newest known position.
+  std::optional<TimePoint> feed_known_at;
   // Since when a peer has read further than this instance; unset if none has.
   std::optional<TimePoint> lagging_since;
   Duration logged_lag = Duration(0);
--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -299,17 +299,23 @@
   }
 }
 
-void DisseminationAgent::ForwardServerList() {
-  if (this->election.role.is_aggregator) {
+void DisseminationAgent::ForwardStoreNews(bool is_for_others) {
+  const AggregationRole& role = this->election.role;
+  if (role.is_aggregator) {
     this->SendDigestSoon();
     return;
   }
-  if (this->election.role.is_standby && this->context.peer_transport) {
-    Digest digest{.sender = this->context.settings.name};
+  if (!this->context.peer_transport || (!role.is_standby && !is_for_others)) {
+    return;
+  }
+  Digest digest{.sender = this->context.settings.name};
+  if (role.is_standby) {
     this->handlers.fill_digest(digest);
-    SendDigestInParts(this->context, this->OwnDomainAddresses(),
-                      std::move(digest));
+  } else {
+    this->handlers.fill_store_news(digest);
   }
+  SendDigestInParts(this->context, this->OwnDomainAddresses(),
+                    std::move(digest));
 }
 
 void DisseminationAgent::RequestServerList(const std::string& member) {
@@ -401,6 +407,14 @@
              {{"member", followed}, {"before", before}});
   }
   const AggregationRole role = this->election.role;
+  const auto& candidates = this->election.candidates;
+  const auto rank = static_cast<std::size_t>(std::distance(
+      candidates.begin(),
+      std::ranges::find(candidates, this->context.settings.name)));
+  if (rank != this->reported_rank) {
+    this->reported_rank = rank;
+    this->handlers.on_rank_change(rank);
+  }
   // The followers of this instance may not know the aggregator that has
   // returned and is followed from now on.
   if (was_aggregator && !role.is_aggregator && this->context.peer_transport &&
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -34,9 +34,15 @@
     std::function<void(const Digest&)> on_digest;
     // Adds the state of other components to a digest before it is sent.
     std::function<void(Digest&)> fill_digest;
+    // Adds only what this instance has read from the store, and heard of what
+    // others have read.
+    std::function<void(Digest&)> fill_store_news;
     // Adds the full list of servers to a digest; returns whether it did.
     std::function<bool(Digest&)> add_full_server_list;
     std::function<void(const AggregationRole&)> on_role_change;
+    // Called when this instance's place among the candidates for aggregator has
+    // changed.
+    std::function<void(std::size_t rank)> on_rank_change;
     // Returns the shards that this instance owns, for its heartbeats.
     std::function<std::vector<long>()> owned_shards;
     // Called with messages whose method is one of `message_methods`.
@@ -60,9 +66,10 @@
   // is the aggregator.
   void SendDigestSoon();
 
-  // Forwards the list of servers within this failure domain if this instance is
-  // the aggregator or its standby. To be called after a read of the store.
-  void ForwardServerList();
+  // Forwards within this failure domain what the store states. To be called
+  // after a read of the store. An instance that is neither the aggregator nor
+  // its standby forwards only if `is_for_others`: these have not told it.
+  void ForwardStoreNews(bool is_for_others);
 
   // Requests the full list of servers from a member, which sends it in a
   // digest.
@@ -118,6 +125,7 @@
   TimePoint started_at;
   bool has_reread_records = false;
   std::optional<AggregationRole> reported_role;
+  std::optional<std::size_t> reported_rank;
   // Outcomes to be sent with the next digest.
   OutcomeSummary own_domain_outcomes;
   OutcomeSummary other_domain_outcomes;
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -85,7 +85,10 @@
                [this](const std::string& peer) {
                  this->dissemination.RequestServerList(peer);
                },
-           .on_read = [this] { this->dissemination.ForwardServerList(); }}),
+           .on_read =
+               [this](bool was_old) {
+                 this->dissemination.ForwardStoreNews(was_old);
+               }}),
       rollout_controller(
           this->context,
           this->server_discovery,
@@ -121,11 +124,16 @@
           },
           [this](const RolloutRequestChange& change) {
             this->rollout_controller.OnRequestChange(change);
-          }),
+          },
+          [this] { this->configuration_sharing.OnFeedRead(); }),
       retry_budgets(this->context),
-      configuration_sharing(this->context,
-                            this->configuration_watcher,
-                            this->dissemination.current_election()),
+      configuration_sharing(
+          this->context,
+          this->configuration_watcher,
+          this->dissemination.current_election(),
+          {.is_store_available =
+               [this] { return this->server_discovery.is_available(); },
+           .on_old_feed_read = [this] { this->ForwardFeedRead(); }}),
       client_budget(loop,
                     DeriveClientLimits(this->context.settings.process_limits),
                     [this](ClosureReason reason,
@@ -217,22 +225,19 @@
           .on_digest = [this](const Digest& digest) { this->OnDigest(digest); },
           .fill_digest =
               [this](Digest& digest) {
-                digest.configuration_version =
-                    this->context.configuration_version();
-                digest.operator_position =
-                    this->configuration_watcher.newest_known_position();
-                digest.serves_configuration =
-                    this->configuration_sharing.is_enabled();
-                this->server_discovery.AddChangesToDigest(digest);
+                this->FillStoreNews(digest);
                 digest.rollouts = this->rollout_controller.News();
                 this->retry_budgets.FillDigest(digest);
               },
+          .fill_store_news =
+              [this](Digest& digest) { this->FillStoreNews(digest); },
           .add_full_server_list =
               [this](Digest& digest) {
                 return this->server_discovery.AddFullListToDigest(digest);
               },
           .on_role_change =
               [this](const AggregationRole& role) { this->OnRoleChange(role); },
+          .on_rank_change = [this](std::size_t) { this->UpdateReadOrder(); },
           .owned_shards = [this] { return this->rate_limiter.OwnedShards(); },
           .on_message =
               [this](const std::string& method, const Json::Value& parameters) {
@@ -253,6 +258,49 @@
               }};
 }
 
+void Gateway::FillStoreNews(Digest& digest) {
+  const ConfigurationWatcher& watcher = this->configuration_watcher;
+  digest.configuration_version = this->context.configuration_version();
+  digest.operator_position = watcher.newest_known_position();
+  digest.operator_feed_age = watcher.FeedAge();
+  digest.has_operator_state = watcher.has_state() && !watcher.is_behind();
+  digest.serves_configuration = this->configuration_sharing.is_enabled();
+  this->server_discovery.AddChangesToDigest(digest);
+}
+
+void Gateway::ForwardFeedRead() {
+  const AggregationRole& role = this->dissemination.current_election().role;
+  if (!role.is_aggregator && !role.is_standby) {
+    this->server_discovery.SkipChangesBeforeNow();
+  }
+  this->dissemination.ForwardStoreNews(true);
+}
+
+// Returns whether a digest of this member shows that it reads for the others of
+// this failure domain although it is not the aggregator, and is to do so in
+// preference to this instance. Else all that have read at the same moment would
+// go on.
+bool Gateway::IsEarlierReader(const std::string& member) const {
+  const std::vector<std::string>& candidates =
+      this->dissemination.current_election().candidates;
+  const auto own = std::ranges::find(candidates, this->context.settings.name);
+  const auto found = std::ranges::find(candidates, member);
+  return found != candidates.begin() && found < own;
+}
+
+// The standby reads before the other members when the aggregator does not tell
+// that the list of servers and the operators' feed are complete.
+void Gateway::UpdateReadOrder() {
+  const AggregatorElection& election = this->dissemination.current_election();
+  const auto own =
+      std::ranges::find(election.candidates, this->context.settings.name);
+  const ListReadOrder order{.is_first = election.role.is_standby,
+                            .rank = static_cast<std::size_t>(std::distance(
+                                election.candidates.begin(), own))};
+  this->server_discovery.SetReadOrder(order);
+  this->configuration_sharing.SetReadOrder(order);
+}
+
 RequestDependencies Gateway::MakeRequestDependencies() {
   return {this->context, this->rate_limiter, this->load_balancer,
           this->retry_budgets, this->admission};
@@ -351,6 +399,10 @@
     IncrementCounter(metrics, "server_list_age_ms",
                      static_cast<std::uint64_t>(ToMilliseconds(*age)));
   }
+  if (const auto age = this->configuration_watcher.FeedAge()) {
+    IncrementCounter(metrics, "operator_feed_age_ms",
+                     static_cast<std::uint64_t>(ToMilliseconds(*age)));
+  }
   IncrementCounter(metrics, "store_era",
                    this->context.coordination.era->known());
   const ClientUsage usage = this->client_budget.usage();
@@ -379,9 +431,14 @@
   this->context.coordination.era->Raise(
       std::max(digest.operator_position.era, digest.servers_to.era));
   this->context.coordination.era->NotifyWatchers();
-  this->configuration_watcher.OnPeerFeedPosition(digest.operator_position);
+  this->configuration_watcher.OnPeerFeedPosition(digest.operator_position,
+                                                 digest.operator_feed_age);
   this->configuration_sharing.OnDigest(digest);
   this->server_discovery.ApplyDigest(digest);
+  if (this->IsEarlierReader(digest.sender)) {
+    this->configuration_sharing.StopReadingForOthers();
+    this->server_discovery.StopReadingForOthers();
+  }
   this->rollout_controller.OnNews(digest.rollouts);
   this->retry_budgets.OnDigest(digest);
   this->rate_limiter.GiveUpSupersededShards();
@@ -401,11 +458,9 @@
             {"alone", role.is_without_aggregator ? "yes" : "no"}});
   this->server_discovery.SetSource(
       role.is_aggregator ? ServerListSource::kStore : ServerListSource::kPeers);
-  this->server_discovery.SetReadOrder(
-      {.is_first = role.is_standby,
-       .rank =
-           RankOfMember(this->context.members, this->context.settings.name)});
-  this->configuration_watcher.SetFrequentReads(role.is_aggregator);
+  this->UpdateReadOrder();
+  this->configuration_watcher.SetFrequentReads(
+      role.is_aggregator || role.is_without_aggregator, role.is_aggregator);
   this->retry_budgets.OnRoleChange(role);
   this->configuration_sharing.OnRoleChange();
 }
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -56,6 +56,10 @@
                        std::size_t count,
                        const ClientUsage& usage);
   void ApplyClientTimeouts();
+  void FillStoreNews(Digest& digest);
+  void ForwardFeedRead();
+  bool IsEarlierReader(const std::string& member) const;
+  void UpdateReadOrder();
   RequestDependencies MakeRequestDependencies();
   void OnRequest(std::shared_ptr<ServerExchange> exchange);
   void OnReadinessProbe(ServerExchange& exchange);
--- a/libraries/gateway/list_age_limit.h
+++ b/libraries/gateway/list_age_limit.h
@@ -2,16 +2,21 @@
 #define PARSLEYQUAY_GATEWAY_LIST_AGE_LIMIT_H_
 
 #include <cstddef>
+#include <optional>
 
 #include "base/clock.h"
 
 namespace parsleyquay {
 
-// The order in which the members of a failure domain read the list of servers
-// themselves when they are not told that it is complete.
+// The order in which the members of a failure domain read the list of servers,
+// or the operators' feed, themselves when they are not told that they know all
+// of it.
 struct ListReadOrder {
-  bool is_first = false;  // reads before the others, and forwards the list
-  std::size_t rank = 0;   // among all members; spreads the others' reads
+  bool is_first = false;  // reads before the others, and forwards what it read
+  std::size_t rank = 0;   // among the candidates for aggregator
+  // Whether this instance has lately read for the others, which those before it
+  // had failed to do.
+  bool has_read_for_others = false;
 
   bool operator==(const ListReadOrder&) const = default;
 };
@@ -23,18 +28,31 @@
 // docs/design/silent-connections.md.
 constexpr Duration kListAgeLimit = milliseconds(1'000);
 
-// For the first reader to forward what it has read.
+// For the first reader to forward what it has read. An instance that has read
+// for the others before waits less, so that it goes on doing so alone.
 constexpr Duration kOtherReadersDelay = milliseconds(100);
+constexpr Duration kNextReaderDelay = milliseconds(40);
 
-// So that the members of a large failure domain do not read at the same moment.
-constexpr Duration kOtherReadersSpread = milliseconds(100);
+// After this time without such a read, an instance no longer counts as one that
+// reads for the others.
+constexpr Duration kReadForOthersMemory = seconds(3);
+
+// Returns the order of an instance that last read for the others at this time.
+ListReadOrder AfterReadForOthers(ListReadOrder order,
+                                 std::optional<TimePoint> read_for_others_at,
+                                 TimePoint now);
 
 // The time from which on a read of the list counts as slow.
 constexpr Duration kSlowListRead = milliseconds(400);
 
-// Returns the age of its list at which an instance reads it from the store.
-// After `slow_reads` slow reads in a row the limit is longer, since more reads
-// would only make the store slower.
+// Returns the age at which an instance reads the list, or the feed, from the
+// store. After `slow_reads` slow reads in a row the limit is longer, since more
+// reads would only make the store slower.
+//
+// The delays of the other readers double the number of those that have read
+// with each step, so that a few reads suffice to find one that the store
+// serves, in a failure domain of any size; the first one that succeeds tells
+// the rest.
 Duration ListAgeLimit(const ListReadOrder& order, int slow_reads = 0);
 
 }  // namespace parsleyquay
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -57,10 +57,10 @@
                [this](bool is_available) {
                  this->OnAvailability(is_available);
                },
-           .on_read = [this](TimePoint sent_at) { this->OnRead(sent_at); },
+           .on_read = [this](TimePoint known_at) { this->OnRead(known_at); },
            .new_era_delay = [this] { return this->NewEraDelay(); }}),
       removal_timer(context.loop, [this] { this->OnRemovalTimer(); }),
-      age_timer(context.loop, [this] { this->feed_reader.ReadNow(); }) {
+      age_timer(context.loop, [this] { this->OnOldList(); }) {
   context.coordination.era->Watch(
       [this](std::uint64_t era) { this->feed_reader.OnNewEra(era); });
 }
@@ -69,7 +69,9 @@
   return this->source == ServerListSource::kStore
              ? Duration(0)
              : kNewEraWaitForPeers +
-                   NewEraReadDelay(this->read_order.rank, kNewEraSpread);
+                   NewEraReadDelay(RankOfMember(this->context.members,
+                                                this->context.settings.name),
+                                   kNewEraSpread);
 }
 
 void ServerDiscovery::SetSource(ServerListSource new_source) {
@@ -268,25 +270,44 @@
 // The read is sent at once if the list is too old already.
 void ServerDiscovery::ScheduleAgeRead() {
   if (const auto age = this->ListAge()) {
-    this->age_timer.StartOnce(std::max(
-        Duration(0), ListAgeLimit(this->read_order, this->slow_reads) - *age));
+    const ListReadOrder order = AfterReadForOthers(
+        this->read_order, this->read_for_others_at, this->context.Now());
+    this->age_timer.StartOnce(
+        std::max(Duration(0), ListAgeLimit(order, this->slow_reads) - *age));
   }
 }
 
+void ServerDiscovery::OnOldList() {
+  this->is_reading_old_list = this->source == ServerListSource::kPeers;
+  if (this->is_reading_old_list && !this->read_order.is_first) {
+    this->SkipChangesBeforeNow();
+  }
+  this->feed_reader.ReadNow();
+}
+
+void ServerDiscovery::SkipChangesBeforeNow() {
+  this->sent_position = this->feed_reader.position();
+  this->unsent_changes.clear();
+}
+
 void ServerDiscovery::StartLapseGracePeriodAfter(Duration outage) {
   StartLapseGracePeriod(this->server_roster, outage, this->context.Now());
 }
 
-void ServerDiscovery::OnRead(TimePoint sent_at) {
+void ServerDiscovery::OnRead(TimePoint known_at) {
   ++this->slow_reads;  // unless the list turns out to be new
-  this->SetListKnownAt(sent_at);
+  const bool was_old = std::exchange(this->is_reading_old_list, false);
+  if (was_old) {
+    this->read_for_others_at = this->context.Now();
+  }
+  this->SetListKnownAt(known_at);
   if (this->became_reader_at) {
     const Duration passed = this->context.Now() - *this->became_reader_at;
     this->became_reader_at.reset();
     LogEvent(LogLevel::kInfo, "server_list_read",
              {{"after_ms", std::to_string(ToMilliseconds(passed))}});
   }
-  this->handlers.on_read();
+  this->handlers.on_read(was_old);
 }
 
 void ServerDiscovery::LogChange(const ServerChange& change,
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -37,8 +37,9 @@
     // Called when the peer has told of changes that this instance misses and
     // the store is unavailable to it.
     std::function<void(const std::string& peer)> on_gap;
-    // Called when the list has been read from the store.
-    std::function<void()> on_read;
+    // Called when the list has been read from the store. `was_old` states
+    // whether it was read since nobody had told that it is complete.
+    std::function<void(bool was_old)> on_read;
   };
 
   ServerDiscovery(GatewayContext& context, Handlers handlers);
@@ -47,6 +48,8 @@
   void Stop() { this->feed_reader.Stop(); }
   void SetSource(ServerListSource source);
   void SetReadOrder(const ListReadOrder& order);
+  // Leaves reads for others to an instance that does so too.
+  void StopReadingForOthers() { this->read_for_others_at.reset(); }
 
   // Sets the failure domains whose servers get no requests.
   void SetWithdrawnDomains(const std::set<std::string>& domains);
@@ -59,6 +62,11 @@
   // if peers cannot be assumed to know what this instance knew before.
   void AddChangesToDigest(Digest& digest);
 
+  // Lets the next AddChangesToDigest() add only the changes from now on. For an
+  // instance that sends digests only when it has read for others: these know
+  // what it knew before.
+  void SkipChangesBeforeNow();
+
   // Adds the full list of servers to a digest. Returns false, without adding
   // it, if the list is unknown or too long for a datagram.
   bool AddFullListToDigest(Digest& digest) const;
@@ -99,7 +107,7 @@
 
  private:
   void OnChanges(std::vector<ServerChange> changes, ChangeSetKind kind);
-  void OnRead(TimePoint sent_at);
+  void OnRead(TimePoint known_at);
   void Apply(const ServerChange& change);
   void LogChange(const ServerChange& change, RosterEvent event) const;
   void OnAvailability(bool is_available);
@@ -109,6 +117,7 @@
   void SetListKnownAt(TimePoint known_at);
   void StartLapseGracePeriodAfter(Duration outage);
   void ScheduleAgeRead();
+  void OnOldList();
   Duration NewEraDelay() const;
   void KeepServersInNewEra();
   std::string ListAgeText() const;
@@ -129,7 +138,10 @@
   std::vector<ServerChange> unsent_changes;  // since `sent_position`
   ServerListSource source = ServerListSource::kPeers;
   ListReadOrder read_order;
-  int slow_reads = 0;  // in a row, see ListAgeLimit()
+  int slow_reads = 0;                // in a row, see ListAgeLimit()
+  bool is_reading_old_list = false;  // until the read succeeds
+  // When the newest read of an old list succeeded.
+  std::optional<TimePoint> read_for_others_at;
   // Set from a change of the source to the store until its first read ends.
   std::optional<TimePoint> became_reader_at;
   // The peer whose digest is being applied, or empty.
--- a/tests/coordination/change_feed_reader_test.cc
+++ b/tests/coordination/change_feed_reader_test.cc
@@ -38,6 +38,7 @@
                    }
                    this->numbers.insert(changes.begin(), changes.end());
                  },
+             .on_read = [this](TimePoint at) { this->known_at = at; },
              .new_era_delay = [this] { return this->new_era_delay; }}) {
     this->feed.Append(1);
     this->reader.Start();
@@ -55,9 +56,62 @@
   FakeFeed<int> feed{loop};
   std::set<int> numbers;  // that the reader knows
   Duration new_era_delay = Duration(0);
+  TimePoint known_at;  // as of which the newest read knows all changes
   ChangeFeedReader<int> reader;
 };
 
+// Guards against an instance that takes what it knows of a feed for newer than
+// it is, and against reads because of one that it takes for older.
+TEST_CASE("a read tells as of when the changes are known") {
+  constexpr Duration kWait = milliseconds(500);
+  Reading reading({.wait = kWait,
+                   .interval = milliseconds(10),
+                   .timeout = milliseconds(400)});
+  const TimePoint began = reading.loop.Now();
+  SECTION("a wait in vain shows that there was no change until it ended") {
+    reading.RunFor(kWait + kDelay);
+    CHECK(reading.known_at >= began + kWait);
+    CHECK(reading.known_at <= reading.loop.Now());
+  }
+  SECTION("a change may have been delivered late") {
+    reading.RunFor(kWait / 2);
+    reading.feed.Append(2);
+    REQUIRE(RunLoopUntil(
+        reading.loop, [&] { return reading.numbers.contains(2); }, kDelay));
+    CHECK(reading.known_at < began + kDelay);
+  }
+}
+
+// Guards against calls to a store that turns an instance away, though others
+// tell it of the changes.
+TEST_CASE("a paused reader does not retry a read after CancelRetry()") {
+  Reading reading({.interval = seconds(5), .timeout = milliseconds(400)});
+  reading.reader.Pause();
+  reading.feed.SetAvailable(false);
+  reading.reader.ReadNow();
+  reading.RunFor(kDelay);
+  REQUIRE_FALSE(reading.reader.is_available());
+  reading.reader.CancelRetry();
+  const auto before = reading.feed.sent_reads();
+  reading.RunFor(milliseconds(1'000));
+  CHECK(reading.feed.sent_reads() == before);
+  reading.feed.SetAvailable(true);
+  reading.feed.Append(2);
+  SECTION("the next read is sent when it is due") {
+    reading.reader.ReadNow();
+  }
+  SECTION("a reader that resumes reads at once") {
+    reading.reader.Resume();
+  }
+  SECTION("the snapshot of a new era is read") {
+    reading.feed.ReturnWith({1, 2});
+    reading.reader.OnNewEra(1);
+  }
+  reading.RunFor(kDelay);
+  CHECK(reading.numbers.contains(2));
+  CHECK(reading.reader.is_available());
+}
+
 // Guards against reads of the store by an instance that has the changes from
 // others.
 TEST_CASE("a paused reader only reads when it is told to") {
--- a/tests/dissemination/dissemination_test.cc
+++ b/tests/dissemination/dissemination_test.cc
@@ -161,6 +161,8 @@
                 .servers_from = {0, 3},
                 .servers_to = {0, 5},
                 .server_list_age = milliseconds(250)};
+  digest.operator_feed_age = milliseconds(120);
+  digest.has_operator_state = true;
   digest.server_changes = {
       {"s1", ServerListing{.service = "lookup",
                            .address = "127.0.0.1:9",
--- a/tests/gateway/server_discovery_test.cc
+++ b/tests/gateway/server_discovery_test.cc
@@ -27,7 +27,7 @@
             .on_news = [] {},
             .on_gap =
                 [this](const std::string& peer) { this->asked_peer = peer; },
-            .on_read = [] {}});
+            .on_read = [](bool) {}});
   }
 
   bool Lists(const std::string& server) const {
--- a/tests/gateway/store_return_test.cc
+++ b/tests/gateway/store_return_test.cc
@@ -65,7 +65,7 @@
                             {.on_new_incarnation = [](const std::string&) {},
                              .on_news = [] {},
                              .on_gap = [](const std::string&) {},
-                             .on_read = [] {}}};
+                             .on_read = [](bool) {}}};
   WorkspaceRateLimiter limiter{context, [] {}};
   Timer own_timer{context.loop, [this] { this->Own(); }};
 };
--- a/tests/rollout/rollout_controller_test.cc
+++ b/tests/rollout/rollout_controller_test.cc
@@ -74,7 +74,7 @@
         ServerDiscovery::Handlers{.on_new_incarnation = [](const auto&) {},
                                   .on_news = [] {},
                                   .on_gap = [](const auto&) {},
-                                  .on_read = [] {}});
+                                  .on_read = [](bool) {}});
     this->controller = std::make_unique<RolloutController>(
         *this->context, *this->discovery,
         RolloutController::Handlers{
--- a/tests/support/fake_feed.h
+++ b/tests/support/fake_feed.h
@@ -37,7 +37,7 @@
                   return this->AddRead(
                       {.position = position.offset,
                        .on_read = std::move(on_read),
-                       .waits = options.wait > Duration(0),
+                       .wait_ends_at = this->loop.Now() + options.wait,
                        .times_out_at = this->loop.Now() + options.timeout});
                 }};
   }
@@ -64,7 +64,7 @@
   struct Read {
     std::optional<std::uint64_t> position;
     typename ChangeFeed<Change>::OnRead on_read;
-    bool waits = false;
+    TimePoint wait_ends_at;
     TimePoint times_out_at;
     TimePoint ends_at;
     std::uint64_t id = 0;
@@ -93,7 +93,8 @@
           now >= read.times_out_at && read.ends_at > read.times_out_at;
       const bool has_ended = now >= read.ends_at || has_timed_out;
       const bool waits_for_change = this->is_available && !has_timed_out &&
-                                    read.waits && from == this->changes.size();
+                                    now < read.wait_ends_at &&
+                                    from == this->changes.size();
       if (!has_ended || waits_for_change) {
         this->reads.push_back(std::move(read));
       } else if (!this->is_available || has_timed_out) {
