routing: Keep hosts and path prefixes apart in the routing table

What callers saw: requests without a key ran on every path of a service with a public route, when their Host header named the prefix of that route; a request of an unsafe route was handled as one of a safe route.

Cause: the routing table had host and path prefix joined as one key and looked up the joined text of the request, so a slash in the Host header made its end the beginning of the path.

Change: the table is by host, then by prefix. A host with a slash has no routes, so the request gets 404.

--- a/libraries/routing/routing_table.cc
+++ b/libraries/routing/routing_table.cc
@@ -27,7 +27,7 @@
 RoutingTable::RoutingTable(FleetConfiguration configuration)
     : published(std::move(configuration)) {
   for (const HostRoute& route : this->published.routes) {
-    this->routes[NormalizeHost(route.host) + route.path_prefix] = &route;
+    this->routes[NormalizeHost(route.host)][route.path_prefix] = &route;
   }
   for (const auto& [name, workspace] : this->published.workspaces) {
     for (const std::string& digest : workspace.key_digests) {
@@ -38,16 +38,16 @@
 
 const HostRoute* RoutingTable::FindRoute(std::string_view host,
                                          std::string_view target) const {
-  std::string_view path = target.substr(0, target.find('?'));
-  std::string key = NormalizeHost(host);
-  const std::size_t host_size = key.size();
-  key += path;
-  for (auto slash = key.rfind('/');
-       slash != std::string::npos && slash >= host_size;
-       slash = slash == 0 ? std::string::npos : key.rfind('/', slash - 1)) {
-    key.resize(slash + 1);
-    const auto found = this->routes.find(key);
-    if (found != this->routes.end()) {
+  const auto of_host = this->routes.find(NormalizeHost(host));
+  if (of_host == this->routes.end()) {
+    return nullptr;
+  }
+  std::string prefix(target.substr(0, target.find('?')));
+  for (auto slash = prefix.rfind('/'); slash != std::string::npos;
+       slash = slash == 0 ? std::string::npos : prefix.rfind('/', slash - 1)) {
+    prefix.resize(slash + 1);
+    const auto found = of_host->second.find(prefix);
+    if (found != of_host->second.end()) {
       return found->second;
     }
   }
--- a/libraries/routing/routing_table.h
+++ b/libraries/routing/routing_table.h
@@ -32,9 +32,11 @@
 
  private:
   FleetConfiguration published;
-  // By host followed by path prefix. A host contains no slash, so the path
-  // begins at the first one.
-  std::unordered_map<std::string, const HostRoute*> routes;
+  // By host, then by path prefix. NOTE: the Host header of a request may
+  // contain a slash, so host and path must not be joined into one key.
+  std::unordered_map<std::string,
+                     std::unordered_map<std::string, const HostRoute*>>
+      routes;
   std::unordered_map<std::string, std::string> workspaces_by_digest;
 };
 
--- a/tests/gateway/request_framing_test.cc
+++ b/tests/gateway/request_framing_test.cc
@@ -100,6 +100,21 @@
   CHECK(fixture.server.requests().empty());
 }
 
+// Guards against requests that reach paths which need a key by the Host header,
+// which names a path prefix that needs none.
+TEST_CASE("a path in the Host header does not make another path public") {
+  OneServer fixture(Good("hello"));
+  const std::string host =
+      GENERATE(as<std::string>(), "a.example/open", "a.example/open/");
+  const std::string path = GENERATE(as<std::string>(), "/once/1", "/safe/1");
+  const std::string response =
+      Exchange(fixture, "DELETE " + path + " HTTP/1.1\r\nHost: " + host +
+                            "\r\nRequest-Id: r-1\r\n"
+                            "Connection: close\r\n\r\n");
+  CHECK(response.starts_with("HTTP/1.1 404 "));
+  CHECK(fixture.server.requests().empty());
+}
+
 // NOTE: libmicrohttpd does not reject a folded header, it changes its name.
 // Guards against passing it on as a length.
 TEST_CASE("a folded length is not passed on") {
--- a/tests/routing/routing_table_test.cc
+++ b/tests/routing/routing_table_test.cc
@@ -43,6 +43,23 @@
   CHECK(FindRouteName(table, "a.example", "") == "");
 }
 
+// Guards against requests without a key on paths that need one: the end of the
+// Host header must not count as the beginning of the path.
+TEST_CASE("a host that contains a slash has no routes") {
+  const RoutingTable table({.version = 1,
+                            .routes = {MakeRoute("x", "a.example", "/x/"),
+                                       MakeRoute("root", "b.example", "/")}});
+  for (const char* host :
+       {"a.example/x", "a.example/x/", "a.example/", "a.example/x/:80"}) {
+    CAPTURE(host);
+    CHECK(FindRouteName(table, host, "/y/1") == "");
+    CHECK(FindRouteName(table, host, "/") == "");
+    CHECK(FindRouteName(table, host, "y") == "");
+  }
+  CHECK(FindRouteName(table, "b.example/x", "/y") == "");
+  CHECK(FindRouteName(table, "", "b.example/") == "");
+}
+
 TEST_CASE("only an API key finds its workspace") {
   FleetConfiguration configuration;
   configuration.workspaces["one"].key_digests = {SecretDigest("k1"),
