http, gateway: Send targets of requests to servers unchanged

What callers saw: "DELETE /p/block#2" ran as "DELETE /p/block" and was answered with 200; bytes above 127 of a path arrived percent-encoded.

Cause: the HTTP client gave the target to libcurl as part of a URL, whose parser drops what follows a number sign and encodes those bytes.

Change: the URL names only the server, and CURLOPT_REQUEST_TARGET sets the target, which libcurl sends as it is. Targets with whitespace, control characters or a number sign get 400 from both programs; libcurl rejected the first two before.

--- a/libraries/entry/entry_instance.cc
+++ b/libraries/entry/entry_instance.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_instance.h"
 
 #include "base/random_id.h"
+#include "http/request_target.h"
 #include "logging/event_log.h"
 
 namespace parsleyquay {
@@ -110,6 +111,12 @@
     this->system_endpoints.Serve(exchange);
     return;
   }
+  if (!IsRequestTarget(exchange->target())) {
+    exchange->Respond(400, {{"Content-Type", "application/json"}},
+                      RenderErrorBody({400, RequestOutcome::kNotExecuted,
+                                       "malformed_request", false}));
+    return;
+  }
   const std::optional<RouteMatch> route =
       this->routes.FindRoute(exchange->target());
   if (!route) {
--- a/libraries/gateway/proxied_request.cc
+++ b/libraries/gateway/proxied_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/request_target.h"
 #include "logging/event_log.h"
 
 namespace parsleyquay {
@@ -107,7 +108,7 @@
   }
   const auto parsed_framing =
       ParseMessageFraming(this->exchange->version(), headers);
-  if (!parsed_framing ||
+  if (!parsed_framing || !IsRequestTarget(this->exchange->target()) ||
       !std::ranges::all_of(headers, &IsHeaderName, &Header::name)) {
     this->RespondWithError({ErrorReason::kMalformedRequest});
     return false;
--- a/libraries/http/http_call.cc
+++ b/libraries/http/http_call.cc
@@ -37,9 +37,14 @@
 }
 
 void HttpCall::Prepare() {
-  const std::string url =
-      "http://" + this->request.address + this->request.target;
+  // NOTE: a target that is part of the URL is changed by libcurl: it drops what
+  // follows a number sign, and encodes bytes above 127.
+  const std::string url = "http://" + this->request.address + "/";
   curl_easy_setopt(this->easy, CURLOPT_URL, url.c_str());
+  if (!this->request.target.empty()) {
+    curl_easy_setopt(this->easy, CURLOPT_REQUEST_TARGET,
+                     this->request.target.c_str());
+  }
   curl_easy_setopt(this->easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
   curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
--- a/libraries/http/request_target.cc
+++ b/libraries/http/request_target.cc
@@ -1,9 +1,17 @@
 #include "http/request_target.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace parsleyquay {
 
+bool IsRequestTarget(std::string_view text) {
+  constexpr unsigned char kDelete = 0x7f;
+  return !text.empty() && std::ranges::none_of(text, [](unsigned char byte) {
+    return byte <= ' ' || byte == kDelete || byte == '#';
+  });
+}
+
 std::string PathFromTarget(const std::string& target) {
   return target.substr(0, target.find('?'));
 }
--- a/libraries/http/request_target.h
+++ b/libraries/http/request_target.h
@@ -3,9 +3,15 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace parsleyquay {
 
+// Whether a server can read the target of a request as it is: it has no
+// whitespace or control characters, which could end it, and no fragment, which
+// is not part of a target (RFC 9112, section 3.2).
+bool IsRequestTarget(std::string_view text);
+
 // Returns the path of a request target, without the query.
 std::string PathFromTarget(const std::string& target);
 
--- a/tests/gateway/request_framing_test.cc
+++ b/tests/gateway/request_framing_test.cc
@@ -100,6 +100,42 @@
   CHECK(fixture.server.requests().empty());
 }
 
+// Guards against a request that changes another object than the one it names,
+// since the part of its target from the number sign on is lost on the way.
+TEST_CASE("a target that is not one is rejected, not passed on in part") {
+  OneServer fixture(Good("hello"));
+  const std::string target =
+      GENERATE(as<std::string>(), "/once/block#2", "/once/#", "/once/1?q=a#b",
+               "/once/a\x01", "/once/a\x7f");
+  const std::string response = Exchange(
+      fixture, "DELETE " + target +
+                   " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n"
+                   "Authorization: Bearer shop-key\r\n"
+                   "Connection: close\r\n\r\n");
+  INFO(target);
+  CHECK(response.starts_with("HTTP/1.1 400 "));
+  CHECK(fixture.server.requests().empty());
+}
+
+// Guards against a path or query that a server gets with other bytes.
+TEST_CASE("a target is passed on byte for byte") {
+  OneServer fixture(Good("hello"));
+  const std::string target = GENERATE(
+      as<std::string>(), "/once/p\xc4\x81keh\xc4\x81?q=\xc4\x81",
+      "/once/p%C4%81keh%c4%81", "/once/../safe/./1//2?a=../b", "/once/1?",
+      "/once/a|b{c}\\\"<d>^`e?f=[g]&h=?i", "/once/%23%00%2F%", "/once/\xff");
+  const std::string response = Exchange(
+      fixture, "DELETE " + target +
+                   " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n"
+                   "Authorization: Bearer shop-key\r\n"
+                   "Connection: close\r\n\r\n");
+  INFO(target);
+  CHECK(response.starts_with("HTTP/1.1 200 "));
+  REQUIRE(fixture.server.requests().size() == 1);
+  CHECK(fixture.server.requests().front().head.starts_with("DELETE " + target +
+                                                           " HTTP/1.1\r\n"));
+}
+
 // Guards against requests that reach paths which need a key by the Host header,
 // which names a path prefix that needs none.
 TEST_CASE("a path in the Host header does not make another path public") {
