tests: Share the DELETE request of the framing tests

Three cases wrote the same request head; a member of TurnedAwayFleet was never read. Requests, assertions and bounds are the same: gateway_proxying and shared_configuration passed.

--- a/tests/gateway/request_framing_test.cc
+++ b/tests/gateway/request_framing_test.cc
@@ -63,6 +63,14 @@
          framing + "\r\n";
 }
 
+// Returns a request after which the connection is closed.
+std::string Delete(const std::string& target,
+                   const std::string& host,
+                   const std::string& more_headers = "") {
+  return "DELETE " + target + " HTTP/1.1\r\nHost: " + host +
+         "\r\nRequest-Id: r-1\r\n" + more_headers + "Connection: close\r\n\r\n";
+}
+
 // Guards against a body that the gateway reads by its chunks and passes on by
 // its length, so that the server takes the rest for another request.
 TEST_CASE(
@@ -108,10 +116,8 @@
       GENERATE(as<std::string>(), "/once/block#2", "/once/#", "/once/1?q=a#b",
                "/once/a\x01", "/once/a\x7f");
   const std::string response = Exchange(
-      fixture, "DELETE " + target +
-                   " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n"
-                   "Authorization: Bearer shop-key\r\n"
-                   "Connection: close\r\n\r\n");
+      fixture,
+      Delete(target, "a.example", "Authorization: Bearer shop-key\r\n"));
   INFO(target);
   CHECK(response.starts_with("HTTP/1.1 400 "));
   CHECK(fixture.server.requests().empty());
@@ -125,10 +131,8 @@
       "/once/p%C4%81keh%c4%81", "/once/../safe/./1//2?a=../b", "/once/1?",
       "/once/a|b{c}\\\"<d>^`e?f=[g]&h=?i", "/once/%23%00%2F%", "/once/\xff");
   const std::string response = Exchange(
-      fixture, "DELETE " + target +
-                   " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n"
-                   "Authorization: Bearer shop-key\r\n"
-                   "Connection: close\r\n\r\n");
+      fixture,
+      Delete(target, "a.example", "Authorization: Bearer shop-key\r\n"));
   INFO(target);
   CHECK(response.starts_with("HTTP/1.1 200 "));
   REQUIRE(fixture.server.requests().size() == 1);
@@ -143,10 +147,7 @@
   const std::string host =
       GENERATE(as<std::string>(), "a.example/open", "a.example/open/");
   const std::string path = GENERATE(as<std::string>(), "/once/1", "/safe/1");
-  const std::string response =
-      Exchange(fixture, "DELETE " + path + " HTTP/1.1\r\nHost: " + host +
-                            "\r\nRequest-Id: r-1\r\n"
-                            "Connection: close\r\n\r\n");
+  const std::string response = Exchange(fixture, Delete(path, host));
   CHECK(response.starts_with("HTTP/1.1 404 "));
   CHECK(fixture.server.requests().empty());
 }
--- a/tests/promises/shared_configuration_test.cc
+++ b/tests/promises/shared_configuration_test.cc
@@ -178,7 +178,6 @@
     this->served = this->GatewaysWithSource("aggregator");
     this->away = this->GatewaysWithSource("store");
     REQUIRE(this->away.size() == 2);
-    this->readers = this->away;
     for (int i = 0; i < 2; ++i) {
       this->away.push_back(this->served.back());
       this->served.pop_back();
@@ -201,7 +200,6 @@
         });
   }
 
-  std::vector<int> readers;  // for the others, before the fault
   std::vector<int> away;
   std::vector<int> served;
 };
