gateway: Share the state of reads because of a feed's age

The list of servers and the operators' feed each kept the same four values and computed the next read from them; AgeReads now holds these, with TimeToAgeRead() and EndAgeRead(). The rank of a member among the candidates for aggregator was computed in three places; RankOfCandidate() serves them. Two comments are clearer. Behaviour is unchanged.

--- a/libraries/dissemination/aggregator_election.cc
+++ b/libraries/dissemination/aggregator_election.cc
@@ -20,6 +20,13 @@
   return election.candidates.empty() ? "" : election.candidates.front();
 }
 
+std::size_t RankOfCandidate(const AggregatorElection& election,
+                            const std::string& member) {
+  const auto& candidates = election.candidates;
+  return static_cast<std::size_t>(
+      std::distance(candidates.begin(), std::ranges::find(candidates, member)));
+}
+
 void UpdateElection(AggregatorElection& election,
                     const MemberTable& table,
                     TimePoint now) {
--- a/libraries/dissemination/aggregator_election.h
+++ b/libraries/dissemination/aggregator_election.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYQUAY_DISSEMINATION_AGGREGATOR_ELECTION_H_
 #define PARSLEYQUAY_DISSEMINATION_AGGREGATOR_ELECTION_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,11 @@
 // its own, or "" if it knows none.
 std::string FollowedAggregator(const AggregatorElection& election);
 
+// Returns the place of a member among the candidates, from 0, or their number
+// if it is none of them.
+std::size_t RankOfCandidate(const AggregatorElection& election,
+                            const std::string& member);
+
 // Ranks the candidates anew. To be called periodically and after every digest.
 void UpdateElection(AggregatorElection& election,
                     const MemberTable& table,
--- a/libraries/gateway/configuration_sharing.cc
+++ b/libraries/gateway/configuration_sharing.cc
@@ -109,10 +109,9 @@
   if (!this->is_enabled()) {
     return;
   }
-  const bool was_old = std::exchange(this->is_reading_old_feed, false);
+  const bool was_old = EndAgeRead(this->age_reads, this->context.Now());
   if (was_old) {
-    this->read_for_others_at = this->context.Now();
-    ++this->slow_reads;  // unless the feed turns out to be new
+    ++this->age_reads.slow_reads;  // unless the feed turns out to be new
     IncrementCounter(this->context.metrics, "operator_feed_reads_for_others");
   }
   this->ScheduleAgeRead();
@@ -122,7 +121,7 @@
 }
 
 void ConfigurationSharing::SetReadOrder(const ListReadOrder& order) {
-  this->read_order = order;
+  this->age_reads.order = order;
   if (this->is_enabled()) {
     this->ScheduleAgeRead();
   }
@@ -135,26 +134,23 @@
 }
 
 void ConfigurationSharing::ScheduleAgeRead() {
-  const ListReadOrder order = AfterReadForOthers(
-      this->read_order, this->read_for_others_at, this->context.Now());
   const Duration age = this->FeedAge();
   if (age < kSlowListRead) {
-    this->slow_reads = 0;
+    this->age_reads.slow_reads = 0;
   }
   this->age_timer.StartOnce(
-      std::max(Duration(0), ListAgeLimit(order, this->slow_reads) - age));
+      TimeToAgeRead(this->age_reads, age, this->context.Now()));
 }
 
-// An instance that all reads of the store fail for leaves the attempts to the
-// reads of the list of servers: those of two feeds would double the calls to a
-// store that is down.
+// While the reads of the list of servers fail, only these are retried: reads of
+// both feeds would double the calls to a store that is down.
 void ConfigurationSharing::OnOldFeed() {
   if (!this->handlers.is_store_available()) {
     this->watcher.CancelRetry();
     this->age_timer.StartOnce(kStoreCheckInterval);
     return;
   }
-  if (!std::exchange(this->is_reading_old_feed, true)) {
+  if (!std::exchange(this->age_reads.is_reading, true)) {
     LogEvent(LogLevel::kInfo, "operator_feed_old",
              {{"age_ms", std::to_string(ToMilliseconds(this->FeedAge()))},
               {"aggregator", FollowedAggregator(this->election)},
@@ -174,7 +170,7 @@
                        !this->watcher.is_behind() &&
                        this->FeedAge() < kListAgeLimit;
   if (is_told) {
-    this->is_reading_old_feed = false;
+    this->age_reads.is_reading = false;
     this->watcher.CancelRetry();
   }
   this->UpdateSource();
--- a/libraries/gateway/configuration_sharing.h
+++ b/libraries/gateway/configuration_sharing.h
@@ -61,7 +61,7 @@
   void OnFeedRead();
   void SetReadOrder(const ListReadOrder& order);
   // Leaves reads for others to an instance that does so too.
-  void StopReadingForOthers() { this->read_for_others_at.reset(); }
+  void StopReadingForOthers() { this->age_reads.read_for_others_at.reset(); }
 
   bool is_enabled() const {
     return this->context.settings.has_configuration_from_aggregators;
@@ -97,11 +97,7 @@
   // The member that states that it has the newest known state, or empty.
   std::string state_holder;
   FeedPosition held_position;  // of the state that it has
-  ListReadOrder read_order;
-  bool is_reading_old_feed = false;  // until the read succeeds
-  int slow_reads = 0;                // in a row, see ListAgeLimit()
-  // When the newest read of an old feed succeeded.
-  std::optional<TimePoint> read_for_others_at;
+  AgeReads age_reads;
   RequestSchedule request_schedule;
   TransferAssembly assembly;
   TransferQueue queue;
--- a/libraries/gateway/dissemination_agent.cc
+++ b/libraries/gateway/dissemination_agent.cc
@@ -407,13 +407,10 @@
              {{"member", followed}, {"before", before}});
   }
   const AggregationRole role = this->election.role;
-  const auto& candidates = this->election.candidates;
-  const auto rank = static_cast<std::size_t>(std::distance(
-      candidates.begin(),
-      std::ranges::find(candidates, this->context.settings.name)));
+  const std::size_t rank = RankOfCandidate(this->election, this->election.name);
   if (rank != this->reported_rank) {
     this->reported_rank = rank;
-    this->handlers.on_rank_change(rank);
+    this->handlers.on_rank_change();
   }
   // The followers of this instance may not know the aggregator that has
   // returned and is followed from now on.
--- a/libraries/gateway/dissemination_agent.h
+++ b/libraries/gateway/dissemination_agent.h
@@ -42,7 +42,7 @@
     std::function<void(const AggregationRole&)> on_role_change;
     // Called when this instance's place among the candidates for aggregator has
     // changed.
-    std::function<void(std::size_t rank)> on_rank_change;
+    std::function<void()> on_rank_change;
     // Returns the shards that this instance owns, for its heartbeats.
     std::function<std::vector<long>()> owned_shards;
     // Called with messages whose method is one of `message_methods`.
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -237,7 +237,7 @@
               },
           .on_role_change =
               [this](const AggregationRole& role) { this->OnRoleChange(role); },
-          .on_rank_change = [this](std::size_t) { this->UpdateReadOrder(); },
+          .on_rank_change = [this] { this->UpdateReadOrder(); },
           .owned_shards = [this] { return this->rate_limiter.OwnedShards(); },
           .on_message =
               [this](const std::string& method, const Json::Value& parameters) {
@@ -281,22 +281,17 @@
 // preference to this instance. Else all that have read at the same moment would
 // go on.
 bool Gateway::IsEarlierReader(const std::string& member) const {
-  const std::vector<std::string>& candidates =
-      this->dissemination.current_election().candidates;
-  const auto own = std::ranges::find(candidates, this->context.settings.name);
-  const auto found = std::ranges::find(candidates, member);
-  return found != candidates.begin() && found < own;
+  const AggregatorElection& election = this->dissemination.current_election();
+  const std::size_t rank = RankOfCandidate(election, member);
+  return rank > 0 && rank < RankOfCandidate(election, election.name);
 }
 
 // The standby reads before the other members when the aggregator does not tell
 // that the list of servers and the operators' feed are complete.
 void Gateway::UpdateReadOrder() {
   const AggregatorElection& election = this->dissemination.current_election();
-  const auto own =
-      std::ranges::find(election.candidates, this->context.settings.name);
   const ListReadOrder order{.is_first = election.role.is_standby,
-                            .rank = static_cast<std::size_t>(std::distance(
-                                election.candidates.begin(), own))};
+                            .rank = RankOfCandidate(election, election.name)};
   this->server_discovery.SetReadOrder(order);
   this->configuration_sharing.SetReadOrder(order);
 }
--- a/libraries/gateway/list_age_limit.cc
+++ b/libraries/gateway/list_age_limit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace parsleyquay {
 
@@ -50,4 +51,18 @@
   return (kListAgeLimit + delay) * factor;
 }
 
+Duration TimeToAgeRead(const AgeReads& reads, Duration age, TimePoint now) {
+  const ListReadOrder order =
+      AfterReadForOthers(reads.order, reads.read_for_others_at, now);
+  return std::max(Duration(0), ListAgeLimit(order, reads.slow_reads) - age);
+}
+
+bool EndAgeRead(AgeReads& reads, TimePoint now) {
+  const bool was_reading = std::exchange(reads.is_reading, false);
+  if (was_reading) {
+    reads.read_for_others_at = now;
+  }
+  return was_reading;
+}
+
 }  // namespace parsleyquay
--- a/libraries/gateway/list_age_limit.h
+++ b/libraries/gateway/list_age_limit.h
@@ -33,8 +33,8 @@
 constexpr Duration kOtherReadersDelay = milliseconds(100);
 constexpr Duration kNextReaderDelay = milliseconds(40);
 
-// After this time without such a read, an instance no longer counts as one that
-// reads for the others.
+// An instance counts as one that reads for the others until this long after its
+// last such read.
 constexpr Duration kReadForOthersMemory = seconds(3);
 
 // Returns the order of an instance that last read for the others at this time.
@@ -55,6 +55,26 @@
 // the rest.
 Duration ListAgeLimit(const ListReadOrder& order, int slow_reads = 0);
 
+// The reads of one feed that an instance makes since nobody has told it of the
+// feed for too long.
+struct AgeReads {
+  ListReadOrder order;
+  bool is_reading = false;  // from the time a read is due until it succeeds
+  // When the newest one succeeded, unless another instance reads for the others
+  // in preference to this one.
+  std::optional<TimePoint> read_for_others_at;
+  int slow_reads = 0;  // in a row, see ListAgeLimit()
+
+  bool operator==(const AgeReads&) const = default;
+};
+
+// Returns the time until the next such read of a feed that was last known to be
+// complete `age` ago; 0 if it is due.
+Duration TimeToAgeRead(const AgeReads& reads, Duration age, TimePoint now);
+
+// Records that a read has succeeded. Returns whether it was such a read.
+bool EndAgeRead(AgeReads& reads, TimePoint now);
+
 }  // namespace parsleyquay
 
 #endif  // PARSLEYQUAY_GATEWAY_LIST_AGE_LIMIT_H_
--- a/libraries/gateway/server_discovery.cc
+++ b/libraries/gateway/server_discovery.cc
@@ -90,7 +90,7 @@
 }
 
 void ServerDiscovery::SetReadOrder(const ListReadOrder& order) {
-  this->read_order = order;
+  this->age_reads.order = order;
   this->ScheduleAgeRead();
 }
 
@@ -262,7 +262,7 @@
   this->list_known_at =
       std::max(this->list_known_at.value_or(known_at), known_at);
   if (this->context.Now() - known_at < kSlowListRead) {
-    this->slow_reads = 0;
+    this->age_reads.slow_reads = 0;
   }
   this->ScheduleAgeRead();
 }
@@ -270,16 +270,14 @@
 // The read is sent at once if the list is too old already.
 void ServerDiscovery::ScheduleAgeRead() {
   if (const auto age = this->ListAge()) {
-    const ListReadOrder order = AfterReadForOthers(
-        this->read_order, this->read_for_others_at, this->context.Now());
     this->age_timer.StartOnce(
-        std::max(Duration(0), ListAgeLimit(order, this->slow_reads) - *age));
+        TimeToAgeRead(this->age_reads, *age, this->context.Now()));
   }
 }
 
 void ServerDiscovery::OnOldList() {
-  this->is_reading_old_list = this->source == ServerListSource::kPeers;
-  if (this->is_reading_old_list && !this->read_order.is_first) {
+  this->age_reads.is_reading = this->source == ServerListSource::kPeers;
+  if (this->age_reads.is_reading && !this->age_reads.order.is_first) {
     this->SkipChangesBeforeNow();
   }
   this->feed_reader.ReadNow();
@@ -295,11 +293,8 @@
 }
 
 void ServerDiscovery::OnRead(TimePoint known_at) {
-  ++this->slow_reads;  // unless the list turns out to be new
-  const bool was_old = std::exchange(this->is_reading_old_list, false);
-  if (was_old) {
-    this->read_for_others_at = this->context.Now();
-  }
+  ++this->age_reads.slow_reads;  // unless the list turns out to be new
+  const bool was_old = EndAgeRead(this->age_reads, this->context.Now());
   this->SetListKnownAt(known_at);
   if (this->became_reader_at) {
     const Duration passed = this->context.Now() - *this->became_reader_at;
--- a/libraries/gateway/server_discovery.h
+++ b/libraries/gateway/server_discovery.h
@@ -49,7 +49,7 @@
   void SetSource(ServerListSource source);
   void SetReadOrder(const ListReadOrder& order);
   // Leaves reads for others to an instance that does so too.
-  void StopReadingForOthers() { this->read_for_others_at.reset(); }
+  void StopReadingForOthers() { this->age_reads.read_for_others_at.reset(); }
 
   // Sets the failure domains whose servers get no requests.
   void SetWithdrawnDomains(const std::set<std::string>& domains);
@@ -137,11 +137,7 @@
   std::optional<FeedPosition> sent_position;
   std::vector<ServerChange> unsent_changes;  // since `sent_position`
   ServerListSource source = ServerListSource::kPeers;
-  ListReadOrder read_order;
-  int slow_reads = 0;                // in a row, see ListAgeLimit()
-  bool is_reading_old_list = false;  // until the read succeeds
-  // When the newest read of an old list succeeded.
-  std::optional<TimePoint> read_for_others_at;
+  AgeReads age_reads;
   // Set from a change of the source to the store until its first read ends.
   std::optional<TimePoint> became_reader_at;
   // The peer whose digest is being applied, or empty.
